--- /dev/null
+++ b/src/main/java/rosespread/Brain.java
@@ -0,0 +1,962 @@
+package rosespread;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import rosespread.api.Feed;
+import rosespread.api.KindId;
+import rosespread.api.MethodId;
+import rosespread.api.NodeId;
+import rosespread.api.Observer;
+import rosespread.api.Orders;
+import rosespread.api.ProxyId;
+import rosespread.api.Settings;
+import rosespread.api.TableId;
+import rosespread.api.ZoneId;
+
+/**
+ * All decisions of one conductor. The caller makes one Brain a conductor and calls {@link #round} once for
+ * each round with all that came in; the orders go straight into the writer. The interface is rosespread.api.
+ * The order below: observe, estimate, judge health, commit, deliver, levels and retries. The mechanism is
+ * commit and deliver: lines that truly change are committed together with one pending delivery per table,
+ * one delivery is in flight per table, the proxies' answers settle it, laggards are bound again.
+ */
+public final class Brain {
+    private static final long SECOND = 1_000_000_000L;
+    /** How often the module looks when nothing comes in. */
+    private static final long TICK = SECOND / 10;
+
+    /** Reports over which load and traffic are averaged (the design's window). */
+    private static final double WINDOW_REPORTS = 10;
+    /** What like machines showed counts as so much load of a node's own when its size is estimated. */
+    private static final double PRIOR_LOAD = 0.1;
+    /** A weight steps once per this, over this part of the gap, once the gap leaves the band. */
+    private static final long STEP_EVERY = 5 * SECOND / 2;
+    private static final double STEP_PART = 0.6;
+    private static final double STEP_BAND = 0.08;
+    /** Bounds of a weight against its start. */
+    private static final double LEAST_SKILL = 0.25;
+    private static final double MOST_SKILL = 3;
+    /** A line is committed anew when it differs by more than this part. */
+    private static final double LINE_BAND = 0.07;
+
+    /** Evidence of a node's health: its half-life as a time constant, what a probe counts, what suffices. */
+    private static final long HEALTH_WINDOW = 3 * SECOND;
+    private static final double PROBE_TRIES = 5;
+    private static final double LEAST_EVIDENCE = 5;
+    private static final double SICK_SHARE = 0.35;
+    /** A sick node keeps a trickle, then a trial's part, so that its return is seen. */
+    private static final double TRICKLE = 0.02;
+    private static final double TRIAL = 0.1;
+    private static final long TRIAL_AFTER = 4 * SECOND;
+    /** Sick nodes may make up so much of a table's size; beyond, all count as well. */
+    private static final double MOST_SICK = 0.5;
+    /** A node that is well again gains a quarter of its weight each. */
+    private static final long RETURN_STEP = 2 * SECOND;
+    private static final long PROBE_EVERY = SECOND;
+    /** Cold nodes together are sent at most this multiple of what they can do by now. */
+    private static final double COLD_LOAD = 1.2;
+
+    /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
+    private static final long PATIENCE = 2 * SECOND;
+    private static final long DELIVERY_GAP = SECOND;
+    /** Parts of the queue's and the messages' limits open to deliveries, to whole tables and to drains. */
+    private static final double PART_DELIVERY = 0.5;
+    private static final double PART_WHOLE = 0.8;
+    private static final double PART_DRAIN = 0.97;
+
+    /** Levels: how often they are set, the load they aim at, when shedding starts and ends. */
+    private static final long LEVEL_EVERY = SECOND;
+    private static final double LEVEL_LOAD = 0.92;
+    private static final double LEVEL_BAND = 0.1;
+    private static final double SHED_FROM = 0.95;
+    private static final double SHED_UNTIL = 0.85;
+    /** Tries after any failure end at the first load and come back below the second. */
+    private static final double RETRY_UNTIL = 0.9;
+    private static final double RETRY_FROM = 0.75;
+
+    private final Settings settings;
+    private final TreeMap<NodeId, Node> nodes = new TreeMap<>();
+    private final TreeMap<ProxyId, Proxy> proxies = new TreeMap<>();
+    private final List<Table> tables = new ArrayList<>();
+    private final Sum lag = new Sum(10 * SECOND);
+    private final Sum lagCount = new Sum(10 * SECOND);
+    private final TreeMap<ProxyId, Double> turn = new TreeMap<>();
+    private long now;
+    private Orders orders;
+    private long sequence;
+    private boolean started;
+    private boolean listLost;
+    private boolean awake;
+    private long nextStep;
+    private long nextProbe;
+    private long nextLevel;
+    private boolean shedding;
+    private boolean retrying = true;
+    private double unit = Double.NaN;
+    private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>();
+
+    public Brain(Settings settings, RandomGenerator random) {
+        this.settings = settings;
+        nextProbe = random.nextLong(PROBE_EVERY);
+        layOutTables();
+    }
+
+    /** One table for each set of methods open to the same nodes; one a zone where the proxy's zone binds. */
+    private void layOutTables() {
+        for (int m = 0; m < settings.methods().size(); m++) {
+            Settings.Method method = settings.methods().get(m);
+            for (int zone = 0; zone < (method.ownZone() ? settings.zones() : 1); zone++) {
+                ZoneId home = method.ownZone() ? new ZoneId(zone) : null;
+                Table table = tables.stream().filter(t -> t.serves(method, home)).findFirst().orElse(null);
+                if (table == null) {
+                    table = new Table(new TableId(tables.size() + 1), method, home);
+                    tables.add(table);
+                }
+                table.methods.add(new MethodId(m));
+            }
+        }
+    }
+
+    /** Decides one round: {@code feed} brings what came in, {@code out} takes the orders. */
+    public void round(long time, Feed feed, Orders out) {
+        now = time;
+        orders = out;
+        feed.to(new Ear());
+        if (settings.sliced()) {
+            if (!started) {
+                orders.log("slices are not decided by this module: their tables stay as they are");
+            }
+            started = true;
+            return;
+        }
+        if (!started || listLost) {
+            begin();
+        }
+        withdrawDrained();
+        if (awake) {
+            awake = false;
+            orders.wakeAfter(TICK);
+            estimate();
+            judge();
+            probe();
+            commitLevels();
+        }
+        commit();
+        settle();
+        bindOwed();
+        deliver();
+        readmit();
+        closeTurn();
+    }
+
+    private void begin() {
+        if (settings.listOnDemand()) {
+            orders.followList();
+        }
+        awake |= !started;
+        nextProbe += started ? 0 : now;
+        started = true;
+        listLost = false;
+    }
+
+    // ---- observe ----
+
+    /** A sum that decays with time, brought up to date when it is read. */
+    private static final class Sum {
+        private final double constant;
+        private double value;
+        private long at;
+
+        Sum(double constant) {
+            this.constant = constant;
+        }
+
+        double read(long now) {
+            if (now > at) {
+                value *= Math.exp((at - now) / constant);
+                at = now;
+            }
+            return value;
+        }
+
+        void add(long now, double part) {
+            value = read(now) + part;
+        }
+    }
+
+    /** Counts over the time that they cover: late or missing sums leave the rate as it was. */
+    private final class Rate {
+        private final Sum count = new Sum(WINDOW_REPORTS * settings.reportPeriod());
+        private final Sum covered = new Sum(WINDOW_REPORTS * settings.reportPeriod());
+
+        void add(double part, double seconds) {
+            count.add(now, part);
+            covered.add(now, seconds);
+        }
+
+        double perSecond() {
+            return known() ? count.read(now) / covered.read(now) : 0;
+        }
+
+        boolean known() {
+            return covered.read(now) > 0.05;
+        }
+    }
+
+    private final class Node {
+        final NodeId id;
+        KindId kind;
+        ZoneId zone;
+        double listed = 1;
+        Observer.NodeState state = Observer.NodeState.GONE;
+        long up = Long.MIN_VALUE;
+        double skill = 1;
+        final TreeMap<ZoneId, Rate> answered = new TreeMap<>();
+        final TreeMap<ZoneId, Rate> tried = new TreeMap<>();
+        Rate load = new Rate();
+        Rate latency = new Rate();
+        Sum tries = new Sum(HEALTH_WINDOW);
+        Sum unanswered = new Sum(HEALTH_WINDOW);
+        boolean sick;
+        long sickSince;
+        long wellSince = Long.MIN_VALUE;
+        boolean probing;
+        boolean withdrawn;
+
+        Node(NodeId id) {
+            this.id = id;
+        }
+
+        boolean ready() {
+            return state == Observer.NodeState.READY;
+        }
+
+        /** A process that has just started tells nothing of the machine; its skill is kept from before. */
+        void restart(long at) {
+            up = at;
+            answered.clear();
+            tried.clear();
+            load = new Rate();
+            latency = new Rate();
+            tries = new Sum(HEALTH_WINDOW);
+            unanswered = new Sum(HEALTH_WINDOW);
+            sick = false;
+            wellSince = Long.MIN_VALUE;
+        }
+
+        boolean cold() {
+            return up != Long.MIN_VALUE && now - up < settings.coldTime();
+        }
+
+        /** The part of its size that a node can be held to have by now: it warms evenly at the slowest. */
+        double warmth() {
+            return cold() ? settings.coldShare()
+                    + (1 - settings.coldShare()) * Math.max(0, now - up) / settings.coldTime() : 1;
+        }
+
+        double size() {
+            return listed * skill;
+        }
+
+        double unansweredShare() {
+            return unanswered.read(now) / Math.max(1e-9, tries.read(now));
+        }
+    }
+
+    private final class Proxy {
+        final ProxyId id;
+        final ZoneId zone;
+        final double rate;
+        final TreeMap<MethodId, Rate> offered = new TreeMap<>();
+        final ArrayDeque<Message> unanswered = new ArrayDeque<>();
+        final ArrayDeque<Long> written = new ArrayDeque<>();
+        boolean bound;
+        boolean owed = true;
+        long wholeSequence;
+        long wholeAt;
+        int wholes;
+        long answered;
+
+        Proxy(ProxyId id, ZoneId zone, double rate) {
+            this.id = id;
+            this.zone = zone;
+            this.rate = rate;
+        }
+
+        double waiting() {
+            return unanswered.stream().mapToDouble(Message::lines).sum();
+        }
+
+        int messages() {
+            while (!written.isEmpty() && now - written.peekFirst() > settings.messageSpan()) {
+                written.removeFirst();
+            }
+            return written.size();
+        }
+    }
+
+    private record Message(long sequence, double lines) { }
+
+    private record Level(double admitted, Orders.Retry retry) { }
+
+    private static final class Table {
+        final TableId id;
+        final Settings.Method like;
+        final ZoneId home;
+        final List<MethodId> methods = new ArrayList<>();
+        final TreeMap<NodeId, Double> committed = new TreeMap<>();
+        final TreeMap<NodeId, Double> laid = new TreeMap<>();
+        final TreeMap<NodeId, Double> pending = new TreeMap<>();
+        final TreeMap<MethodId, Level> levels = new TreeMap<>();
+        final TreeMap<MethodId, Level> pendingLevels = new TreeMap<>();
+        final TreeSet<ProxyId> inFlight = new TreeSet<>();
+        long version;
+        long flightSequence;
+        long sentAt = Long.MIN_VALUE / 2;
+        boolean panic;
+
+        Table(TableId id, Settings.Method like, ZoneId home) {
+            this.id = id;
+            this.like = like;
+            this.home = home;
+        }
+
+        boolean serves(Settings.Method method, ZoneId zone) {
+            return like.onlyKinds().equals(method.onlyKinds()) && like.onlyZones().equals(method.onlyZones())
+                    && java.util.Objects.equals(home, zone);
+        }
+
+        boolean open(Node node) {
+            return (like.onlyKinds().isEmpty() || like.onlyKinds().contains(node.kind))
+                    && (like.onlyZones().isEmpty() || like.onlyZones().contains(node.zone))
+                    && (home == null || home.equals(node.zone));
+        }
+
+        boolean usedBy(Proxy proxy) {
+            return home == null || home.equals(proxy.zone);
+        }
+    }
+
+    private final class Ear implements Observer {
+        private final Set<NodeId> listed = new TreeSet<>();
+        private ListKind kind;
+
+        @Override
+        public void listBegins(ListKind kind) {
+            this.kind = kind;
+            listed.clear();
+        }
+
+        @Override
+        public void node(NodeId id, KindId kind, ZoneId zone, double weight, NodeState state, long up) {
+            listed.add(id);
+            Node node = nodes.computeIfAbsent(id, Node::new);
+            node.kind = kind;
+            node.zone = zone;
+            node.listed = weight > 0 ? weight : 1;
+            node.state = state;
+            if (up > node.up) {
+                node.restart(up);
+            }
+        }
+
+        @Override
+        public void listEnds() {
+            if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
+                nodes.values().stream().filter(node -> !listed.contains(node.id))
+                        .forEach(node -> node.state = NodeState.GONE);
+            }
+            listLost |= kind == ListKind.UNAVAILABLE;
+        }
+
+        @Override
+        public void proxyJoined(ProxyId id, ZoneId zone, double rate) {
+            proxyLeft(id);
+            proxies.put(id, new Proxy(id, zone, rate));
+        }
+
+        @Override
+        public void proxyLeft(ProxyId id) {
+            proxies.remove(id);
+            tables.forEach(table -> table.inFlight.remove(id));
+        }
+
+        /** The stream is ordered, so an answer also settles all that was sent before it. */
+        @Override
+        public void installed(ProxyId id, int mark, long took) {
+            Proxy proxy = proxies.get(id);
+            if (proxy == null) {
+                return;
+            }
+            long sequence = proxy.unanswered.stream().mapToLong(Message::sequence)
+                    .filter(s -> (s & 0xFFFF) == mark).findFirst().orElse(0);
+            if (sequence == 0) {
+                return;
+            }
+            while (!proxy.unanswered.isEmpty() && proxy.unanswered.peekFirst().sequence() <= sequence) {
+                proxy.unanswered.removeFirst();
+            }
+            proxy.answered = sequence;
+            if (proxy.wholeSequence <= sequence) {
+                proxy.wholes = 0;
+            }
+            lag.add(now, took);
+            lagCount.add(now, 1);
+            tables.stream().filter(table -> table.flightSequence <= sequence)
+                    .forEach(table -> table.inFlight.remove(id));
+        }
+
+        @Override
+        public void sums(NodeId id, ZoneId zone, int tries, int unanswered, double latency, long covers,
+                double utilization) {
+            Node node = nodes.get(id);
+            if (node == null) {
+                return;
+            }
+            node.tries.add(now, tries);
+            node.unanswered.add(now, unanswered);
+            double seconds = covers / (double) SECOND;
+            node.tried.computeIfAbsent(zone, z -> new Rate()).add(tries, seconds);
+            if (node.cold()) {
+                return;
+            }
+            node.answered.computeIfAbsent(zone, z -> new Rate()).add(tries - unanswered, seconds);
+            if (!Double.isNaN(utilization)) {
+                node.load.add(utilization * seconds, seconds);
+            }
+            if (!Double.isNaN(latency)) {
+                node.latency.add(latency * seconds, seconds);
+            }
+        }
+
+        @Override
+        public void offered(ProxyId id, MethodId method, int count, long covers) {
+            Proxy proxy = proxies.get(id);
+            if (proxy != null) {
+                proxy.offered.computeIfAbsent(method, m -> new Rate()).add(count, covers / (double) SECOND);
+            }
+        }
+
+        /** A probe that was pushed back tells nothing of the node's health. */
+        @Override
+        public void probed(NodeId id, Verdict verdict, double utilization) {
+            Node node = nodes.get(id);
+            if (node == null) {
+                return;
+            }
+            node.probing = false;
+            if (verdict != Verdict.PUSHED_BACK) {
+                node.tries.add(now, PROBE_TRIES);
+                node.unanswered.add(now, verdict == Verdict.OK ? 0 : PROBE_TRIES);
+            }
+        }
+
+        @Override
+        public void woke() {
+            awake = true;
+        }
+    }
+
+    // ---- estimate ----
+
+    private static double perSecond(Map<ZoneId, Rate> byZone) {
+        return byZone.values().stream().mapToDouble(Rate::perSecond).sum();
+    }
+
+    /** Units of size: RPCs a second that a listed weight of 1 answers at full load, over all and by kind. */
+    private void estimate() {
+        double meanLatency = ready().stream().filter(n -> n.latency.known())
+                .mapToDouble(n -> n.latency.perSecond()).average().orElse(Double.NaN);
+        TreeMap<KindId, double[]> byKind = new TreeMap<>();
+        double[] all = new double[2];
+        for (Node node : ready()) {
+            double load = load(node, meanLatency);
+            if (!node.sick && !Double.isNaN(load)) {
+                double[] sums = byKind.computeIfAbsent(node.kind, k -> new double[2]);
+                for (double[] s : List.of(all, sums)) {
+                    s[0] += perSecond(node.answered);
+                    s[1] += load * node.listed;
+                }
+            }
+        }
+        if (all[1] <= 0 || all[0] <= 0) {
+            return;
+        }
+        unit = all[0] / all[1];
+        byKind.forEach((kind, s) -> unitOfKind.put(kind, s[0] / s[1]));
+        if (now >= nextStep) {
+            nextStep = now + STEP_EVERY;
+            ready().forEach(node -> step(node, load(node, meanLatency)));
+        }
+    }
+
+    /** Utilization where it is told; else latency against the fleet's, as the design has it. */
+    private double load(Node node, double meanLatency) {
+        if (node.load.known()) {
+            return Math.max(0.02, node.load.perSecond());
+        }
+        return node.latency.known() ? node.latency.perSecond() / meanLatency / 2 : Double.NaN;
+    }
+
+    /** Steps a weight towards what the node answers for its load, over a part of the gap. */
+    private void step(Node node, double load) {
+        if (node.sick) {
+            return;
+        }
+        double prior = unitOfKind.getOrDefault(node.kind, unit) * node.listed;
+        double size = Double.isNaN(load) ? prior
+                : (perSecond(node.answered) + PRIOR_LOAD * prior) / (load + PRIOR_LOAD);
+        if (Double.isNaN(load) && node.skill != 1) {
+            return;
+        }
+        double gap = size / (unit * node.size());
+        if (Math.abs(gap - 1) > STEP_BAND) {
+            node.skill = Math.max(LEAST_SKILL,
+                    Math.min(MOST_SKILL, node.skill * Math.pow(gap, STEP_PART)));
+        }
+    }
+
+    private List<Node> ready() {
+        return nodes.values().stream().filter(Node::ready).toList();
+    }
+
+    /** RPCs a second that the ready nodes open to a table can do by now; NaN before anything was heard. */
+    private double capacity(Table table) {
+        return unit * ready().stream().filter(table::open).mapToDouble(n -> n.size() * present(n, table)).sum();
+    }
+
+    private double present(Node node, Table table) {
+        return node.warmth() * fitness(node, table);
+    }
+
+    // ---- judge health ----
+
+    /**
+     * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
+     * hang or are lost before the list tells. It does harm if a few RPCs cost far more than usual at one
+     * node only; the trickle and the trial bring such a node back.
+     */
+    private void judge() {
+        double tries = ready().stream().mapToDouble(n -> n.tries.read(now)).sum();
+        double unanswered = ready().stream().mapToDouble(n -> n.unanswered.read(now)).sum();
+        for (Node node : ready()) {
+            double others = (unanswered - node.unanswered.read(now))
+                    / Math.max(1, tries - node.tries.read(now));
+            double bound = Math.max(SICK_SHARE, 2 * others + 0.15);
+            double share = node.unansweredShare();
+            if (!node.sick && node.tries.read(now) >= LEAST_EVIDENCE && share > bound) {
+                node.sick = true;
+                node.sickSince = now;
+                orders.log("node " + node.id.value() + " sick: " + figure(share) + " of "
+                        + figure(node.tries.read(now)) + " tries unanswered, others " + figure(others));
+            } else if (node.sick && node.tries.read(now) >= 2 && share < bound / 2) {
+                node.sick = false;
+                node.wellSince = now;
+                orders.log("node " + node.id.value() + " well: " + figure(share) + " unanswered after "
+                        + figure((now - node.sickSince) / (double) SECOND) + " s");
+            }
+        }
+        for (Table table : tables) {
+            List<Node> open = ready().stream().filter(table::open).toList();
+            double sick = open.stream().filter(n -> n.sick).mapToDouble(Node::size).sum();
+            double all = open.stream().mapToDouble(Node::size).sum();
+            boolean panic = sick > MOST_SICK * all;
+            if (panic != table.panic) {
+                table.panic = panic;
+                orders.log("table " + table.id.value() + (panic ? " counts all nodes as well: " : " trusts health: ")
+                        + figure(sick) + " of " + figure(all) + " sick");
+            }
+        }
+    }
+
+    /** The part of its weight that health leaves a node; a panic bound keeps sick nodes from emptying a table. */
+    private double fitness(Node node, Table table) {
+        if (table.panic) {
+            return 1;
+        }
+        if (node.sick) {
+            return now - node.sickSince < TRIAL_AFTER ? TRICKLE : TRIAL;
+        }
+        return node.wellSince == Long.MIN_VALUE ? 1
+                : Math.min(1, 0.25 * (1 + (now - node.wellSince) / RETURN_STEP));
+    }
+
+    private void probe() {
+        if (!settings.probesAllowed() || now < nextProbe) {
+            return;
+        }
+        nextProbe = now + PROBE_EVERY;
+        for (Node node : ready()) {
+            if (!node.probing) {
+                node.probing = true;
+                orders.probe(node.id);
+            }
+        }
+    }
+
+    private static String figure(double value) {
+        return String.format(java.util.Locale.ROOT, "%.2f", value);
+    }
+
+    // ---- commit ----
+
+    /** Commits what truly differs, each change together with the table's one pending delivery. */
+    private void commit() {
+        TreeMap<NodeId, Double> spoken = new TreeMap<>();
+        List<Table> byRoom = new ArrayList<>(tables);
+        byRoom.sort(Comparator.comparingLong(t -> ready().stream().filter(t::open).count()));
+        for (Table table : byRoom) {
+            Map<NodeId, Double> wanted = wanted(table, spoken);
+            if (wanted.isEmpty()) {
+                continue;
+            }
+            boolean changed = false;
+            for (NodeId id : List.copyOf(table.committed.keySet())) {
+                if (!wanted.containsKey(id)) {
+                    table.committed.remove(id);
+                    stage(table, id, 0);
+                    changed = true;
+                }
+            }
+            for (Map.Entry<NodeId, Double> line : wanted.entrySet()) {
+                Double old = table.committed.get(line.getKey());
+                if (old == null || Math.abs(line.getValue() - old) > LINE_BAND * old) {
+                    table.committed.put(line.getKey(), line.getValue());
+                    stage(table, line.getKey(), line.getValue());
+                    changed = true;
+                }
+            }
+            if (changed) {
+                table.version++;
+            }
+        }
+    }
+
+    /** A newer change overwrites the pending one; one that leads back to what is laid drops out. */
+    private static void stage(Table table, NodeId id, double weight) {
+        if (table.laid.getOrDefault(id, 0.0) == weight) {
+            table.pending.remove(id);
+        } else {
+            table.pending.put(id, weight);
+        }
+    }
+
+    /** Each open node by its size, what more restricted tables take of it, its warmth and its health. */
+    private Map<NodeId, Double> wanted(Table table, Map<NodeId, Double> spoken) {
+        List<Node> open = ready().stream().filter(table::open).toList();
+        double mean = open.stream().mapToDouble(n -> n.listed).average().orElse(1);
+        double load = loadRatio();
+        Map<NodeId, Double> wanted = new TreeMap<>();
+        for (Node node : open) {
+            double size = node.size();
+            double taken = spoken.getOrDefault(node.id, 0.0) / Math.max(load, 0.1);
+            double weight = Math.max(0.1 * size, size - taken) / mean * present(node, table);
+            if (node.cold()) {
+                weight *= Math.min(1, COLD_LOAD / Math.max(load, 1e-9));
+            }
+            wanted.put(node.id, Math.max(weight, 1e-4));
+        }
+        double sum = wanted.values().stream().mapToDouble(w -> w).sum();
+        double share = demand(table) / unit;
+        if (tables.size() > 1 && !Double.isNaN(share)) {
+            wanted.forEach((id, weight) -> spoken.merge(id, share * weight / sum, Double::sum));
+        }
+        return wanted;
+    }
+
+    /** Tries a second against what all ready nodes can do by now; 0 before anything was heard. */
+    private double loadRatio() {
+        if (Double.isNaN(unit)) {
+            return 0;
+        }
+        double tried = nodes.values().stream().mapToDouble(n -> perSecond(n.tried)).sum();
+        double able = ready().stream().mapToDouble(n -> n.size() * present(n, tables.get(0))).sum() * unit;
+        return tried / Math.max(able, 1e-9);
+    }
+
+    // ---- deliver ----
+
+    /** A drain waits for no delivery: the node is shut out at once, its lines go with the next one. */
+    private void withdrawDrained() {
+        for (Node node : nodes.values()) {
+            if (!node.ready() && !node.withdrawn && tables.stream().anyMatch(t -> t.laid.containsKey(node.id))) {
+                node.withdrawn = true;
+                orders.withdraw(node.id, true);
+                reachHolders(node.id);
+            }
+        }
+    }
+
+    /** Lets a node in again once no table has a line of it left to send. */
+    private void readmit() {
+        for (Node node : nodes.values()) {
+            if (node.ready() && node.withdrawn && tables.stream().noneMatch(t -> t.pending.containsKey(node.id))
+                    && room(PART_WHOLE) > proxies.size() * (settings.linesPerMessage() + 2)) {
+                node.withdrawn = false;
+                orders.withdraw(node.id, false);
+                reachHolders(node.id);
+            }
+        }
+    }
+
+    private void reachHolders(NodeId id) {
+        for (Proxy proxy : proxies.values()) {
+            if (proxy.bound && tables.stream().anyMatch(t -> t.usedBy(proxy) && t.laid.containsKey(id))) {
+                reach(proxy, 1);
+            }
+        }
+    }
+
+    /** How long a proxy has to answer: stretched by the lag met and by what the channel may still hold. */
+    private long patience() {
+        double met = lag.read(now) / Math.max(1, lagCount.read(now));
+        double queue = waiting() / settings.linesPerSecond() * SECOND;
+        return Math.max(PATIENCE, (long) (3 * met + 4 * queue + settings.longestWay()));
+    }
+
+    /** Unanswered lines bound the queue from above, however slow the channel is. */
+    private double waiting() {
+        return proxies.values().stream().mapToDouble(Proxy::waiting).sum()
+                + turn.values().stream().mapToDouble(lines -> lines).sum();
+    }
+
+    private double room(double part) {
+        return part * settings.queueLimit() - waiting();
+    }
+
+    private boolean mayWrite(Proxy proxy, double part) {
+        return settings.messageLimit() == 0 || turn.containsKey(proxy.id)
+                || proxy.messages() + 1 <= part * settings.messageLimit();
+    }
+
+    /** A delivery unanswered for too long is closed; its laggards are owed the whole table instead. */
+    private void settle() {
+        long patience = patience();
+        for (Table table : tables) {
+            if (!table.inFlight.isEmpty() && now - table.sentAt > patience) {
+                table.inFlight.forEach(id -> proxies.get(id).owed = true);
+                table.inFlight.clear();
+            }
+        }
+        for (Proxy proxy : proxies.values()) {
+            boolean open = proxy.bound && proxy.wholeSequence > proxy.answered;
+            if (open && now - proxy.wholeAt > patience << Math.min(proxy.wholes, 4)) {
+                proxy.owed = true;
+            }
+        }
+    }
+
+    /** Joined proxies and laggards get whole tables, the busiest first. */
+    private void bindOwed() {
+        List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
+        owed.sort(Comparator.comparingDouble((Proxy p) -> -p.rate).thenComparing(p -> p.id));
+        if (!owed.isEmpty()) {
+            tables.stream().filter(t -> t.laid.isEmpty()).forEach(this::send);
+        }
+        for (Proxy proxy : owed) {
+            double lines = 0;
+            for (Table table : tables) {
+                lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
+            }
+            if (!mayWrite(proxy, PART_WHOLE) || room(PART_WHOLE) < lines + settings.linesPerMessage() + 1
+                    || tables.stream().allMatch(t -> t.laid.isEmpty())) {
+                continue;
+            }
+            for (Table table : tables) {
+                if (table.usedBy(proxy) && !table.laid.isEmpty()) {
+                    orders.bind(proxy.id, table.methods, table.id);
+                }
+            }
+            reach(proxy, lines);
+            proxy.bound = true;
+            proxy.owed = false;
+            proxy.wholes++;
+            proxy.wholeSequence = sequence + 1;
+            proxy.wholeAt = now;
+        }
+    }
+
+    /** Sends each table's pending delivery if none is in flight and the budget has room. */
+    private void deliver() {
+        for (Table table : tables) {
+            if (table.pending.isEmpty() && table.pendingLevels.isEmpty()) {
+                continue;
+            }
+            List<Proxy> users = users(table);
+            double lines = table.pending.size() + table.pendingLevels.size() + settings.linesPerMessage() + 1;
+            boolean urgent = urgent(table);
+            double part = urgent ? PART_WHOLE : PART_DELIVERY;
+            if (!urgent && (!table.inFlight.isEmpty() || now - table.sentAt < DELIVERY_GAP)
+                    || room(part) < lines * users.size()
+                    || users.stream().anyMatch(p -> !mayWrite(p, part))) {
+                continue;
+            }
+            send(table);
+        }
+    }
+
+    /**
+     * Two changes do not wait for a delivery in flight: a cold node that tables still hold at a higher weight
+     * (a restart under an old line), and a table whose every line is shut out.
+     */
+    private boolean urgent(Table table) {
+        boolean bare = table.laid.keySet().stream().allMatch(id -> nodes.get(id).withdrawn);
+        return bare || table.pending.entrySet().stream().anyMatch(line -> nodes.get(line.getKey()).cold()
+                && table.laid.getOrDefault(line.getKey(), 0.0) > 1.5 * line.getValue());
+    }
+
+    private List<Proxy> users(Table table) {
+        return proxies.values().stream().filter(p -> p.bound && table.usedBy(p)).toList();
+    }
+
+    private void send(Table table) {
+        int lines = table.pending.size() + table.pendingLevels.size();
+        table.pending.forEach((id, weight) -> {
+            orders.line(table.id, id, weight);
+            if (weight > 0) {
+                table.laid.put(id, weight);
+            } else {
+                table.laid.remove(id);
+            }
+        });
+        table.pendingLevels.forEach((method, level) ->
+                orders.level(table.id, method, level.admitted(), level.retry()));
+        table.pending.clear();
+        table.pendingLevels.clear();
+        table.flightSequence = sequence + 1;
+        table.sentAt = now;
+        for (Proxy proxy : users(table)) {
+            reach(proxy, lines);
+            table.inFlight.add(proxy.id);
+        }
+    }
+
+    private void reach(Proxy proxy, double lines) {
+        turn.merge(proxy.id, settings.linesPerMessage() + 1 + lines, (old, more) -> old + lines);
+    }
+
+    /** All orders of a round are one message for each proxy reached, with one mark. */
+    private void closeTurn() {
+        if (turn.isEmpty()) {
+            return;
+        }
+        sequence++;
+        orders.mark((int) (sequence & 0xFFFF));
+        turn.forEach((id, lines) -> {
+            proxies.get(id).unanswered.addLast(new Message(sequence, lines));
+            proxies.get(id).written.addLast(now);
+        });
+        turn.clear();
+    }
+
+    // ---- levels and retries ----
+
+    private double demand(Table table) {
+        return table.methods.stream().mapToDouble(this::demand).sum();
+    }
+
+    private double demand(MethodId method) {
+        return proxies.values().stream().filter(p -> p.offered.containsKey(method))
+                .mapToDouble(p -> p.offered.get(method).perSecond()).sum();
+    }
+
+    /** Sheds by offered load, the lowest criticality first, and says when proxies try again. */
+    private void commitLevels() {
+        if (now < nextLevel) {
+            return;
+        }
+        nextLevel = now + LEVEL_EVERY;
+        judgeLoad();
+        TreeMap<MethodId, Double> admitted = shedding ? shares() : new TreeMap<>();
+        for (Table table : tables) {
+            for (MethodId method : table.methods) {
+                double share = admitted.getOrDefault(method, 1.0);
+                double level = share >= 0.98 ? Double.POSITIVE_INFINITY : level(method, share);
+                commitLevel(table, method, new Level(level, retry(settings.methods().get(method.value()))));
+            }
+        }
+    }
+
+    private void judgeLoad() {
+        double offered = 0;
+        double able = 0;
+        for (Table table : tables) {
+            offered += demand(table);
+            able = Math.max(able, capacity(table));
+        }
+        double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
+        boolean shed = settings.throttle() != Settings.Throttle.NONE
+                && ratio > (shedding ? SHED_UNTIL : SHED_FROM);
+        if (shed != shedding) {
+            shedding = shed;
+            orders.log((shed ? "shedding: offered " : "shedding ends: offered ") + figure(offered)
+                    + "/s, able " + figure(able) + "/s");
+        }
+        boolean retry = ratio < (retrying ? RETRY_UNTIL : RETRY_FROM);
+        if (retry != retrying) {
+            retrying = retry;
+            orders.log((retry ? "retries on: load " : "retries off: load ") + figure(ratio));
+        }
+    }
+
+    /** The share of each method that fits, from the highest criticality down; equals share alike. */
+    private TreeMap<MethodId, Double> shares() {
+        TreeMap<Double, List<MethodId>> byCriticality = new TreeMap<>(Comparator.reverseOrder());
+        for (int m = 0; m < settings.methods().size(); m++) {
+            byCriticality.computeIfAbsent(settings.methods().get(m).criticality(), c -> new ArrayList<>())
+                    .add(new MethodId(m));
+        }
+        double left = LEVEL_LOAD * tables.stream().mapToDouble(this::capacity).max().orElse(0);
+        TreeMap<MethodId, Double> shares = new TreeMap<>();
+        for (List<MethodId> equals : byCriticality.values()) {
+            double wanted = equals.stream().mapToDouble(this::demand).sum();
+            double share = wanted > 0 ? Math.max(0, Math.min(1, left / wanted)) : 1;
+            left -= share * wanted;
+            equals.forEach(method -> shares.put(method, share));
+        }
+        return shares;
+    }
+
+    /** A level as the proxies count it: a share, or the rate at each that cuts the busiest first. */
+    private double level(MethodId method, double share) {
+        if (settings.throttle() == Settings.Throttle.SHARE) {
+            return share;
+        }
+        double[] rates = proxies.values().stream().filter(p -> p.offered.containsKey(method))
+                .mapToDouble(p -> p.offered.get(method).perSecond()).sorted().toArray();
+        double left = share * java.util.Arrays.stream(rates).sum();
+        for (int i = 0; i < rates.length; i++) {
+            if (rates[i] * (rates.length - i) >= left) {
+                return left / (rates.length - i);
+            }
+            left -= rates[i];
+        }
+        return Double.POSITIVE_INFINITY;
+    }
+
+    private void commitLevel(Table table, MethodId method, Level level) {
+        Level old = table.levels.getOrDefault(method, new Level(Double.POSITIVE_INFINITY, Orders.Retry.NEVER_RAN));
+        boolean moved = Double.isInfinite(old.admitted()) != Double.isInfinite(level.admitted())
+                || Math.abs(level.admitted() - old.admitted()) > LEVEL_BAND * old.admitted();
+        if (moved || old.retry() != level.retry()) {
+            table.levels.put(method, level);
+            table.pendingLevels.put(method, level);
+            table.version++;
+        }
+    }
+
+    /** A try that may have run is repeated only where no effect can come twice and there is room for it. */
+    private Orders.Retry retry(Settings.Method method) {
+        boolean harmless = method.effect() == Settings.Effect.IDEMPOTENT
+                || method.effect() == Settings.Effect.TOKENED && method.scope() == Settings.Scope.ALL
+                && method.window() >= method.deadline();
+        return harmless && retrying ? Orders.Retry.ANY_ONCE : Orders.Retry.NEVER_RAN;
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/adapter/Adapter.java
@@ -0,0 +1,98 @@
+package rosespread.adapter;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Speaks the simulator's wire: a batch a line in, a reply a line out, for as many conductors as it names. */
+public final class Adapter {
+    private final JsonFactory json = new JsonFactory();
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final Map<Integer, Conductor> conductors = new TreeMap<>();
+
+    public Adapter(InputStream in, OutputStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+    }
+
+    /** Answers batches until the input ends. */
+    public void run() throws IOException, WireException {
+        long number = 0;
+        for (String line = in.readLine(); line != null; line = in.readLine()) {
+            number++;
+            try {
+                answer(line).writeTo(out);
+                out.flush();
+            } catch (JsonProcessingException e) {
+                throw new WireException("line " + number + " is not a batch: " + e.getOriginalMessage());
+            } catch (WireException e) {
+                throw new WireException("line " + number + " is not a batch: " + e.getMessage());
+            }
+        }
+    }
+
+    private ByteArrayOutputStream answer(String line) throws IOException, WireException {
+        Fields batch = Fields.of("the line", parse(line));
+        long now = batch.nanos("simTime");
+        Map<Integer, Conductor> concerned = new TreeMap<>();
+        for (Fields event : batch.requiredObjects("msgs")) {
+            take(event, concerned);
+        }
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator reply = json.createGenerator(bytes)) {
+            reply.writeStartObject();
+            reply.writeArrayFieldStart("steps");
+            for (Conductor conductor : concerned.values()) {
+                conductor.round(now, reply);
+            }
+            reply.writeEndArray();
+            reply.writeEndObject();
+            reply.writeRaw('\n');
+        }
+        return bytes;
+    }
+
+    private Object parse(String line) throws IOException {
+        try (JsonParser parser = json.createParser(line)) {
+            if (parser.nextToken() == null) {
+                return null;
+            }
+            Object value = Fields.read(parser);
+            return parser.nextToken() == null ? value : null;
+        }
+    }
+
+    /** An event of a conductor that has not been launched is passed over: nobody is there to hear it. */
+    private void take(Fields event, Map<Integer, Conductor> concerned) throws WireException {
+        int id = event.integer("conductorId");
+        switch (event.text("msg")) {
+            case "Launch" -> {
+                Conductor launched = new Conductor(id, event);
+                conductors.put(id, launched);
+                concerned.put(id, launched);
+            }
+            case "Detach" -> {
+                conductors.remove(id);
+                concerned.remove(id);
+            }
+            default -> {
+                Conductor conductor = conductors.get(id);
+                if (conductor != null) {
+                    conductor.take(event);
+                    concerned.put(id, conductor);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/api/Orders.java
@@ -0,0 +1,31 @@
+package rosespread.api;
+
+/** Takes a round's decisions as they are made; all of one round leave as one message for each proxy reached. */
+public interface Orders {
+    /** The way a proxy tries again: after proof that the first try never ran, or once after any failure. */
+    enum Retry { NEVER_RAN, ANY_ONCE }
+
+    /** Sets a table's line; weight 0 removes it. */
+    void line(TableId table, NodeId node, double weight);
+
+    /** Sends a proxy the whole table for these methods; it gets the table's changes from then on. */
+    void bind(ProxyId proxy, Iterable<MethodId> methods, TableId table);
+
+    /** Shuts a node out of everything that the joined proxies hold, or lets it in again. */
+    void withdraw(NodeId node, boolean out);
+
+    /** Lets in so much of a method at each proxy of the table (infinite: all), and says how it tries again. */
+    void level(TableId table, MethodId method, double admitted, Retry retry);
+
+    /** Asks each proxy that this round reaches to answer with this number, 0 to 65535. */
+    void mark(int mark);
+
+    void probe(NodeId node);
+
+    /** Asks to be told of changes to the list. */
+    void followList();
+
+    void wakeAfter(long nanos);
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/rosespread/api/Settings.java
@@ -0,0 +1,46 @@
+package rosespread.api;
+
+import java.util.List;
+import java.util.Set;
+
+/** What a conductor is told at its start; times in nanoseconds. Decoded once, never copied. */
+public record Settings(
+        List<Method> methods,
+        int zones,
+        boolean sliced,
+        boolean listOnDemand,
+        boolean probesAllowed,
+        Throttle throttle,
+        double linesPerSecond,
+        double linesPerMessage,
+        double queueLimit,
+        int messageLimit,
+        long messageSpan,
+        long longestWay,
+        long reportPeriod,
+        long drainGrace,
+        long coldTime,
+        double coldShare,
+        double coldMultiple) {
+
+    /** A method; the sets name the only kinds and zones open to it, and are empty where all are. */
+    public record Method(
+            double criticality,
+            Effect effect,
+            Scope scope,
+            long window,
+            long softDeadline,
+            long deadline,
+            Set<KindId> onlyKinds,
+            Set<ZoneId> onlyZones,
+            boolean ownZone) { }
+
+    /** What a second run of the same RPC does. */
+    public enum Effect { IDEMPOTENT, TOKENED, NON_IDEMPOTENT }
+
+    /** The nodes among which a token keeps a repeat from taking effect. */
+    public enum Scope { ALL, ZONE, CELL }
+
+    /** What a level is counted in, if proxies heed levels at all. */
+    public enum Throttle { SHARE, RATE, NONE }
+}
--- /dev/null
+++ b/src/test/java/rosespread/BrainTest.java
@@ -0,0 +1,187 @@
+package rosespread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rosespread.Rig.method;
+import static rosespread.Rig.settings;
+import static rosespread.api.Observer.ListKind.CHANGES;
+import static rosespread.api.Observer.NodeState.DRAINING;
+import static rosespread.api.Observer.NodeState.GONE;
+import static rosespread.api.Observer.NodeState.READY;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import rosespread.api.Observer;
+import rosespread.api.ProxyId;
+import rosespread.api.Settings.Effect;
+import rosespread.api.Settings.Scope;
+
+class BrainTest {
+    private static final long LONG_AGO = Long.MIN_VALUE;
+
+    @ParameterizedTest
+    @CsvSource({"1, 4", "3, 8", "9, 20"})
+    void joinedProxiesGetWholeTablesTheBusiestFirst(int proxies, int nodes) {
+        Rig rig = new Rig(settings());
+        rig.start(nodes, proxies);
+        List<String> binds = rig.since(0, "bind ");
+        List<String> wanted = IntStream.range(0, proxies).mapToObj(p -> "bind " + (proxies - 1 - p) + " 1").toList();
+        assertEquals(wanted, binds);
+    }
+
+    @Test
+    void aNewerChangeOverwritesThePendingOneWhileADeliveryIsInFlight() {
+        Rig rig = new Rig(settings()).start(4, 2);
+        rig.list(CHANGES, READY, LONG_AGO, 4);
+        List<String> sent = rig.round(1);
+        assertTrue(sent.stream().anyMatch(line -> line.startsWith("line 1 4 ")));
+        int place = rig.all.size();
+        rig.list(CHANGES, READY, LONG_AGO, 5).round(0.1);
+        rig.list(CHANGES, GONE, LONG_AGO, 5).round(0.1);
+        rig.list(CHANGES, READY, LONG_AGO, 6).round(0.1);
+        assertEquals(List.of(), rig.since(place, "line "));
+        rig.answer(sent);
+        rig.run(1.2);
+        assertEquals(List.of("line 1 6 1.0"), rig.since(place, "line "));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void onlyTheProxyThatDoesNotAnswerIsBoundAgain(int silent) {
+        Rig rig = new Rig(settings()).start(4, 3);
+        int place = rig.all.size();
+        rig.list(CHANGES, READY, LONG_AGO, 4).run(3, silent);
+        assertEquals(List.of("bind " + silent + " 1"), rig.since(place, "bind "));
+    }
+
+    @Test
+    void aSlowChannelStartsNoStormOfBinds() {
+        Rig rig = new Rig(settings(600, 30, method(1, Effect.IDEMPOTENT, Scope.ALL, 5)));
+        rig.start(8, 6);
+        int place = rig.all.size();
+        for (int node = 8; node < 28; node++) {
+            rig.list(CHANGES, READY, LONG_AGO, node).run(0.5, 0, 1, 2, 3, 4, 5);
+        }
+        assertTrue(rig.since(place, "bind ").size() <= 12, rig.since(place, "bind ").toString());
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Observer.NodeState.class, names = {"DRAINING", "GONE"})
+    void aDrainDoesNotWaitForADeliveryInFlight(Observer.NodeState state) {
+        Rig rig = new Rig(settings()).start(4, 2);
+        rig.list(CHANGES, READY, LONG_AGO, 4).round(1);
+        List<String> orders = rig.list(CHANGES, state, LONG_AGO, 1).round(0.01);
+        assertTrue(orders.contains("withdraw 1"));
+        assertTrue(orders.stream().noneMatch(line -> line.startsWith("line ")));
+    }
+
+    @Test
+    void aReturningNodeIsLetInOnlyAtItsColdWeight() {
+        Rig rig = new Rig(settings()).start(4, 2);
+        rig.list(CHANGES, GONE, LONG_AGO, 1).run(3);
+        rig.list(CHANGES, READY, 104 * Rig.SECOND, 1).run(1.5);
+        assertTrue(rig.all.contains("readmit 1"));
+        assertTrue(rig.weight(1, 1) < 0.35, "weight " + rig.weight(1, 1));
+        rig.run(20);
+        assertEquals(1, rig.weight(1, 1), 0.08);
+    }
+
+    @Test
+    void aRestartUnderAnOldLineIsMendedInTheSameRound() {
+        Rig rig = new Rig(settings()).start(4, 2);
+        rig.list(CHANGES, READY, LONG_AGO, 4).round(1);
+        rig.list(CHANGES, READY, 103 * Rig.SECOND, 1).round(0.01);
+        assertTrue(rig.weight(1, 1) < 0.2, "weight " + rig.weight(1, 1));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, true", "2, true", "6, false", "8, false"})
+    void noSetOfSickNodesEmptiesATable(int sick, boolean trusted) {
+        Rig rig = new Rig(settings()).start(8, 2);
+        for (int i = 0; i < 6; i++) {
+            for (int node = 0; node < 8; node++) {
+                rig.sums(node, 10, node < sick ? 10 : 0, node < sick ? Double.NaN : 0.5);
+            }
+            rig.run(1);
+        }
+        double sickest = IntStream.range(0, sick).mapToDouble(n -> rig.weight(1, n)).max().orElseThrow();
+        assertEquals(trusted, sickest < 0.2, "weight " + sickest);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.9, 0.3", "0.8, 0.4"})
+    void weightsFollowTheLoadAndSilenceChangesNothing(double busy, double idle) {
+        Rig rig = new Rig(settings()).start(4, 2);
+        for (int i = 0; i < 10; i++) {
+            for (int node = 0; node < 4; node++) {
+                rig.sums(node, 10, 0, node == 0 ? busy : idle);
+            }
+            rig.run(1);
+        }
+        assertTrue(rig.weight(1, 0) < 0.8 * rig.weight(1, 1));
+        int place = rig.all.size();
+        rig.run(8);
+        assertTrue(rig.since(place, "line ").size() <= 4, rig.since(place, "line ").toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"IDEMPOTENT, ALL, 1, ANY_ONCE", "TOKENED, ALL, 5, ANY_ONCE", "TOKENED, ALL, 1, NEVER_RAN",
+        "TOKENED, ZONE, 5, NEVER_RAN", "TOKENED, CELL, 5, NEVER_RAN", "NON_IDEMPOTENT, ALL, 5, NEVER_RAN"})
+    void aTryThatMayHaveRunIsRepeatedOnlyWhereNoEffectComesTwice(Effect effect, Scope scope, double window,
+            String retry) {
+        Rig rig = new Rig(settings(2000, 30, method(1, effect, scope, window))).start(4, 2);
+        boolean ordered = !rig.since(0, "level 0 Infinity ANY_ONCE").isEmpty();
+        assertEquals(retry.equals("ANY_ONCE"), ordered);
+    }
+
+    @Test
+    void theLowestCriticalityIsShedFirst() {
+        Rig rig = new Rig(settings(2000, 30, method(1, Effect.NON_IDEMPOTENT, Scope.ALL, 5),
+                method(3, Effect.NON_IDEMPOTENT, Scope.ALL, 5))).start(4, 2);
+        for (int i = 0; i < 5; i++) {
+            for (int node = 0; node < 4; node++) {
+                rig.sums(node, 10, 0, 1);
+            }
+            for (int proxy = 0; proxy < 2; proxy++) {
+                rig.offered(proxy, 0, 15).offered(proxy, 1, 10);
+            }
+            rig.run(1);
+        }
+        assertTrue(!rig.since(0, "level 0 ").isEmpty());
+        assertEquals(List.of(), rig.since(0, "level 1 "));
+    }
+
+    @Test
+    void methodsOpenToOtherNodesHaveTheirOwnTable() {
+        Rig rig = new Rig(settings(2000, 30, method(1, Effect.IDEMPOTENT, Scope.ALL, 5),
+                method(3, Effect.NON_IDEMPOTENT, Scope.ALL, 5, 0))).start(4, 1);
+        assertEquals(List.of("bind 0 1", "bind 0 2"), rig.since(0, "bind "));
+        assertEquals(0, rig.weight(2, 1));
+        assertTrue(rig.weight(2, 0) > 0);
+    }
+
+    @Test
+    void marksWrapRoundAndStillSettle() {
+        Rig rig = new Rig(settings(2000, 0, method(1, Effect.IDEMPOTENT, Scope.ALL, 5))).start(4, 1);
+        for (int i = 0; i < 66_000; i++) {
+            rig.with(o -> o.proxyLeft(new ProxyId(0))).join(0, 10);
+            rig.answer(rig.round(0.001));
+            rig.all.clear();
+        }
+        rig.run(1);
+        rig.list(CHANGES, READY, LONG_AGO, 4).run(4);
+        assertEquals(1, rig.since(0, "line 1 4 ").size());
+        assertEquals(List.of(), rig.since(0, "bind "));
+    }
+
+    @Test
+    void aDrainingNodeOfAnOldListIsNeverLaid() {
+        Rig rig = new Rig(settings()).list(Observer.ListKind.REMEMBERED, DRAINING, LONG_AGO, 9).start(4, 1);
+        assertEquals(List.of(), rig.since(0, "line 1 9 "));
+    }
+}
--- /dev/null
+++ b/src/test/java/rosespread/Rig.java
@@ -0,0 +1,185 @@
+package rosespread;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import rosespread.api.KindId;
+import rosespread.api.MethodId;
+import rosespread.api.NodeId;
+import rosespread.api.Observer;
+import rosespread.api.Orders;
+import rosespread.api.ProxyId;
+import rosespread.api.Settings;
+import rosespread.api.Settings.Effect;
+import rosespread.api.Settings.Scope;
+import rosespread.api.TableId;
+import rosespread.api.ZoneId;
+
+/** A conductor's module with its clock, what comes in next, and its orders as short lines of text. */
+final class Rig {
+    static final long SECOND = 1_000_000_000L;
+
+    final Brain brain;
+    final List<String> all = new ArrayList<>();
+    private final List<Consumer<Observer>> next = new ArrayList<>();
+    private long now = 100 * SECOND;
+
+    Rig(Settings settings) {
+        brain = new Brain(settings, new SplittableRandom(7));
+    }
+
+    static Settings.Method method(double criticality, Effect effect, Scope scope, double window, int... kinds) {
+        Set<KindId> only = new java.util.TreeSet<>();
+        for (int kind : kinds) {
+            only.add(new KindId(kind));
+        }
+        return new Settings.Method(criticality, effect, scope, (long) (window * SECOND), SECOND, 2 * SECOND, only,
+                Set.of(), false);
+    }
+
+    /** A deployment of one zone whose channel holds so many lines and which pushes so many messages. */
+    static Settings settings(double queue, int messages, Settings.Method... methods) {
+        return new Settings(List.of(methods), 1, false, false, false, Settings.Throttle.RATE, 1000, 10, queue,
+                messages, 10 * SECOND, SECOND / 2, SECOND, 2 * SECOND, 16 * SECOND, 0.16, 4);
+    }
+
+    static Settings settings() {
+        return settings(2000, 30, method(1, Effect.IDEMPOTENT, Scope.ALL, 5));
+    }
+
+    Rig with(Consumer<Observer> event) {
+        next.add(event);
+        return this;
+    }
+
+    Rig list(Observer.ListKind kind, Observer.NodeState state, long up, int... nodes) {
+        with(o -> o.listBegins(kind));
+        for (int node : nodes) {
+            with(o -> o.node(new NodeId(node), new KindId(node % 2), new ZoneId(0), 1, state, up));
+        }
+        return with(Observer::listEnds);
+    }
+
+    /** Starts with ready nodes 0 to n-1 and proxies 0 to m-1, bound and settled. */
+    Rig start(int nodes, int proxies) {
+        list(Observer.ListKind.REMEMBERED, Observer.NodeState.READY, Long.MIN_VALUE,
+                java.util.stream.IntStream.range(0, nodes).toArray());
+        for (int proxy = 0; proxy < proxies; proxy++) {
+            join(proxy, 10 + proxy);
+        }
+        round(0);
+        return run(2);
+    }
+
+    Rig join(int proxy, double rate) {
+        return with(o -> o.proxyJoined(new ProxyId(proxy), new ZoneId(0), rate));
+    }
+
+    Rig sums(int node, int tries, int unanswered, double utilization) {
+        return with(o -> o.sums(new NodeId(node), new ZoneId(0), tries, unanswered, 0.1, SECOND, utilization));
+    }
+
+    Rig offered(int proxy, int method, int count) {
+        return with(o -> o.offered(new ProxyId(proxy), new MethodId(method), count, SECOND));
+    }
+
+    /** Plays a round so many seconds on; returns its orders. */
+    List<String> round(double seconds) {
+        now += Math.round(seconds * SECOND);
+        List<Consumer<Observer>> events = List.copyOf(next);
+        next.clear();
+        Written orders = new Written();
+        brain.round(now, observer -> events.forEach(event -> event.accept(observer)), orders);
+        all.addAll(orders.lines);
+        return orders.lines;
+    }
+
+    /** Wakes the module every tenth of a second; the proxies not named as silent answer each mark at once. */
+    Rig run(double seconds, int... silent) {
+        for (int i = 0; i < Math.round(seconds * 10); i++) {
+            with(Observer::woke);
+            answer(round(0.1), silent);
+        }
+        return this;
+    }
+
+    void answer(List<String> orders, int... silent) {
+        for (String order : orders) {
+            if (order.startsWith("mark ")) {
+                int mark = Integer.parseInt(order.substring(5));
+                for (int proxy = 0; proxy < 20; proxy++) {
+                    int id = proxy;
+                    if (java.util.Arrays.stream(silent).noneMatch(s -> s == id)) {
+                        with(o -> o.installed(new ProxyId(id), mark, SECOND / 10));
+                    }
+                }
+            }
+        }
+    }
+
+    /** The orders since a place in all of them that start so. */
+    List<String> since(int place, String start) {
+        return all.subList(place, all.size()).stream().filter(line -> line.startsWith(start)).toList();
+    }
+
+    /** The weight last ordered for a node in a table, 0 if none. */
+    double weight(int table, int node) {
+        double weight = 0;
+        String start = "line " + table + " " + node + " ";
+        for (String line : all) {
+            weight = line.startsWith(start) ? Double.parseDouble(line.substring(start.length())) : weight;
+        }
+        return weight;
+    }
+
+    private static final class Written implements Orders {
+        private final List<String> lines = new ArrayList<>();
+
+        @Override
+        public void line(TableId table, NodeId node, double weight) {
+            lines.add("line " + table.value() + " " + node.value() + " " + weight);
+        }
+
+        @Override
+        public void bind(ProxyId proxy, Iterable<MethodId> methods, TableId table) {
+            lines.add("bind " + proxy.value() + " " + table.value());
+        }
+
+        @Override
+        public void withdraw(NodeId node, boolean out) {
+            lines.add((out ? "withdraw " : "readmit ") + node.value());
+        }
+
+        @Override
+        public void level(TableId table, MethodId method, double admitted, Retry retry) {
+            lines.add("level " + method.value() + " " + admitted + " " + retry);
+        }
+
+        @Override
+        public void mark(int mark) {
+            lines.add("mark " + mark);
+        }
+
+        @Override
+        public void probe(NodeId node) {
+            lines.add("probe " + node.value());
+        }
+
+        @Override
+        public void followList() {
+            lines.add("follow");
+        }
+
+        @Override
+        public void wakeAfter(long nanos) {
+            lines.add("wake");
+        }
+
+        @Override
+        public void log(String line) {
+            lines.add("log " + line);
+        }
+    }
+}
