Cold nodes stay withdrawn until what old tables sent them lies behind

A cold node is now let in a grace and a fall window after it was shut out. The bound on cold nodes takes a high load for granted while no sums were heard; that alone did not help. Tests follow the shape.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -48,9 +48,11 @@
 
     /** Evidence of a node's health: its half-life as a time constant, what a probe counts, what suffices. */
     private static final long HEALTH_WINDOW = 3 * SECOND;
-    private static final double PROBE_TRIES = 5;
-    private static final double LEAST_EVIDENCE = 5;
+    private static final double PROBE_TRIES = 3;
+    private static final double LEAST_EVIDENCE = 7;
     private static final double SICK_SHARE = 0.35;
+    private static final double SICK_SHARE_BUSY = 0.9;
+    private static final double BUSY = 0.8;
     /** A sick node keeps a trickle, then a trial's part, so that its return is seen. */
     private static final double TRICKLE = 0.02;
     private static final double TRIAL = 0.1;
@@ -60,8 +62,9 @@
     /** A node that is well again gains a quarter of its weight each. */
     private static final long RETURN_STEP = 2 * SECOND;
     private static final long PROBE_EVERY = SECOND;
-    /** Cold nodes together are sent at most this multiple of what they can do by now. */
+    /** Cold nodes are sent at most this multiple of what they can do by now; the load taken while unheard. */
     private static final double COLD_LOAD = 1.2;
+    private static final double UNHEARD_LOAD = 5;
 
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND;
@@ -229,6 +232,7 @@
         long wellSince = Long.MIN_VALUE;
         boolean probing;
         boolean withdrawn;
+        long withdrawnAt;
 
         Node(NodeId id) {
             this.id = id;
@@ -648,7 +652,11 @@
         }
     }
 
-    /** Each open node by its size, what more restricted tables take of it, its warmth and its health. */
+    /**
+     * Each open node by its size, what more restricted tables take of it, its warmth and its health. The bound
+     * on cold nodes guards against a site that returns cold into a storm of repeats, also under a conductor
+     * that has just started and has heard no sums; it does harm where warm nodes are the overloaded ones.
+     */
     private Map<NodeId, Double> wanted(Table table, Map<NodeId, Double> spoken) {
         List<Node> open = ready().stream().filter(table::open).toList();
         double mean = open.stream().mapToDouble(n -> n.listed).average().orElse(1);
@@ -659,7 +667,7 @@
             double taken = spoken.getOrDefault(node.id, 0.0) / Math.max(load, 0.1);
             double weight = Math.max(0.1 * size, size - taken) / mean * present(node, table);
             if (node.cold()) {
-                weight *= Math.min(1, COLD_LOAD / Math.max(load, 1e-9));
+                weight *= Math.min(1, COLD_LOAD / (Double.isNaN(unit) ? UNHEARD_LOAD : Math.max(load, 1e-9)));
             }
             wanted.put(node.id, Math.max(weight, 1e-4));
         }
@@ -688,16 +696,23 @@
         for (Node node : nodes.values()) {
             if (!node.ready() && !node.withdrawn && tables.stream().anyMatch(t -> t.laid.containsKey(node.id))) {
                 node.withdrawn = true;
+                node.withdrawnAt = now;
                 orders.withdraw(node.id, true);
                 reachHolders(node.id);
             }
         }
     }
 
-    /** Lets a node in again once no table has a line of it left to send. */
+    /**
+     * Lets a node in again once no table has a line of it left to send. A cold one stays out until what old
+     * tables sent it lies behind: guards against a conductor that restarts as a lost site returns, and against
+     * a list that flaps; it keeps a node idle for a few seconds where nobody had sent there.
+     */
     private void readmit() {
+        long clear = settings.drainGrace() + settings.coldWindow();
         for (Node node : nodes.values()) {
-            if (node.ready() && node.withdrawn && tables.stream().noneMatch(t -> t.pending.containsKey(node.id))
+            if (node.ready() && node.withdrawn && (!node.cold() || now - node.withdrawnAt > clear)
+                    && tables.stream().noneMatch(t -> t.pending.containsKey(node.id))
                     && room(PART_WHOLE) > proxies.size() * (settings.linesPerMessage() + 2)) {
                 node.withdrawn = false;
                 orders.withdraw(node.id, false);
@@ -741,7 +756,8 @@
         long patience = patience();
         for (Table table : tables) {
             if (!table.inFlight.isEmpty() && now - table.sentAt > patience) {
-                table.inFlight.forEach(id -> proxies.get(id).owed = true);
+                table.inFlight.stream().map(proxies::get)
+                        .forEach(proxy -> proxy.owed |= proxy.wholeSequence < table.flightSequence);
                 table.inFlight.clear();
             }
         }
--- a/src/main/java/rosespread/adapter/Names.java
+++ b/src/main/java/rosespread/adapter/Names.java
@@ -112,7 +112,7 @@
                 rules.nanos("stopSendingWithin"),
                 rules.nanos("cold"),
                 rules.number("coldShare"),
-                rules.number("fallMultiple"));
+                rules.nanos("overloadFor"));
     }
 
     private Settings.Method method(Fields method, boolean ownZone) throws WireException {
--- a/src/main/java/rosespread/api/Settings.java
+++ b/src/main/java/rosespread/api/Settings.java
@@ -21,7 +21,7 @@
         long drainGrace,
         long coldTime,
         double coldShare,
-        double coldMultiple) {
+        long coldWindow) {
 
     /** A method; the sets name the only kinds and zones open to it, and are empty where all are. */
     public record Method(
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -55,7 +55,7 @@
     void onlyTheProxyThatDoesNotAnswerIsBoundAgain(int silent) {
         Rig rig = new Rig(settings()).start(4, 3);
         int place = rig.all.size();
-        rig.list(CHANGES, READY, LONG_AGO, 4).run(3, silent);
+        rig.list(CHANGES, READY, LONG_AGO, 4).run(4, silent);
         assertEquals(List.of("bind " + silent + " 1"), rig.since(place, "bind "));
     }
 
@@ -84,7 +84,9 @@
     void aReturningNodeIsLetInOnlyAtItsColdWeight() {
         Rig rig = new Rig(settings()).start(4, 2);
         rig.list(CHANGES, GONE, LONG_AGO, 1).run(3);
-        rig.list(CHANGES, READY, 104 * Rig.SECOND, 1).run(1.5);
+        rig.list(CHANGES, READY, 104 * Rig.SECOND, 1).run(0.3);
+        assertTrue(!rig.all.contains("readmit 1"), "what old tables sent lies not yet behind");
+        rig.run(1);
         assertTrue(rig.all.contains("readmit 1"));
         assertTrue(rig.weight(1, 1) < 0.35, "weight " + rig.weight(1, 1));
         rig.run(20);
--- a/src/test/java/rosespread/Rig.java
+++ b/src/test/java/rosespread/Rig.java
@@ -42,7 +42,7 @@
     /** A deployment of one zone whose channel holds so many lines and which pushes so many messages. */
     static Settings settings(double queue, int messages, Settings.Method... methods) {
         return new Settings(List.of(methods), 1, false, false, false, Settings.Throttle.RATE, 1000, 10, queue,
-                messages, 10 * SECOND, SECOND / 2, SECOND, 2 * SECOND, 16 * SECOND, 0.16, 4);
+                messages, 10 * SECOND, SECOND / 2, SECOND, 2 * SECOND, 16 * SECOND, 0.16, 3 * SECOND / 2);
     }
 
     static Settings settings() {
@@ -69,7 +69,7 @@
         for (int proxy = 0; proxy < proxies; proxy++) {
             join(proxy, 10 + proxy);
         }
-        round(0);
+        answer(round(0));
         return run(2);
     }
 
