--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -544,8 +544,9 @@
 
     /**
      * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
-     * hang or are lost before the list tells. It does harm if a few RPCs cost far more than usual at one
-     * node only; the trickle and the trial bring such a node back.
+     * hang or are lost before the list tells. A busy node that leaves tries unanswered is overloaded, not sick:
+     * taking it out would push the others over; weights and levels answer that. The judgement does harm if a
+     * few RPCs cost far more than usual at one node only; the trickle and the trial bring such a node back.
      */
     private void judge() {
         double tries = ready().stream().mapToDouble(n -> n.tries.read(now)).sum();
@@ -553,7 +554,8 @@
         for (Node node : ready()) {
             double others = (unanswered - node.unanswered.read(now))
                     / Math.max(1, tries - node.tries.read(now));
-            double bound = Math.max(SICK_SHARE, 2 * others + 0.15);
+            boolean busy = node.load.known() && node.load.perSecond() > BUSY;
+            double bound = Math.max(busy ? SICK_SHARE_BUSY : SICK_SHARE, 2 * others + 0.15);
             double share = node.unansweredShare();
             if (!node.sick && node.tries.read(now) >= LEAST_EVIDENCE && share > bound) {
                 node.sick = true;
