Tries after any failure only while there is much room

Cause: a try that may be followed is given up at the soft deadline and run again; near capacity that feeds the overload. Bounds on load 0.9/0.75 to 0.65/0.55.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -81,8 +81,8 @@
     private static final double SHED_FROM = 0.95;
     private static final double SHED_UNTIL = 0.85;
     /** Tries after any failure end at the first load and come back below the second. */
-    private static final double RETRY_UNTIL = 0.9;
-    private static final double RETRY_FROM = 0.75;
+    private static final double RETRY_UNTIL = 0.65;
+    private static final double RETRY_FROM = 0.55;
 
     private final Settings settings;
     private final TreeMap<NodeId, Node> nodes = new TreeMap<>();
