A delivery too large for the channel leaves in parts

Cause: the pending delivery, larger than half the queue for all proxies, never fitted and waited for ever; told from a slow channel by the queue being empty and from sickness by 25 of 35 nodes in use. Change: levels and the lines that lower a node's share go first, as many as fit; the rest stays pending.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -776,7 +776,7 @@
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
         owed.sort(Comparator.comparingDouble((Proxy p) -> -p.rate).thenComparing(p -> p.id));
         if (!owed.isEmpty()) {
-            tables.stream().filter(t -> t.laid.isEmpty()).forEach(this::send);
+            tables.stream().filter(t -> t.laid.isEmpty()).forEach(t -> send(t, Integer.MAX_VALUE));
         }
         for (Proxy proxy : owed) {
             double lines = 0;
@@ -801,22 +801,25 @@
         }
     }
 
-    /** Sends each table's pending delivery if none is in flight and the budget has room. */
+    /**
+     * Sends each table's pending delivery if none is in flight and the budget has room; what does not fit stays
+     * pending. Guards against a change too large for the channel, which would otherwise never leave.
+     */
     private void deliver() {
         for (Table table : tables) {
             if (table.pending.isEmpty() && table.pendingLevels.isEmpty()) {
                 continue;
             }
             List<Proxy> users = users(table);
-            double lines = table.pending.size() + table.pendingLevels.size() + settings.linesPerMessage() + 1;
             boolean urgent = urgent(table);
             double part = urgent ? PART_WHOLE : PART_DELIVERY;
+            double fit = room(part) / Math.max(1, users.size()) - settings.linesPerMessage() - 1;
             if (!urgent && (!table.inFlight.isEmpty() || now - table.sentAt < DELIVERY_GAP)
-                    || room(part) < lines * users.size()
+                    || fit < table.pendingLevels.size() + 1
                     || users.stream().anyMatch(p -> !mayWrite(p, part))) {
                 continue;
             }
-            send(table);
+            send(table, users.isEmpty() ? Integer.MAX_VALUE : (int) fit - table.pendingLevels.size());
         }
     }
 
@@ -834,24 +837,28 @@
         return proxies.values().stream().filter(p -> p.bound && table.usedBy(p)).toList();
     }
 
-    private void send(Table table) {
-        int lines = table.pending.size() + table.pendingLevels.size();
-        table.pending.forEach((id, weight) -> {
+    /** Sends levels and so many lines, those that take a node's share down first. */
+    private void send(Table table, int most) {
+        List<NodeId> lines = new ArrayList<>(table.pending.keySet());
+        lines.sort(Comparator.comparingDouble(id -> table.pending.get(id) - table.laid.getOrDefault(id, 0.0)));
+        lines = lines.subList(0, Math.min(most, lines.size()));
+        int sent = lines.size() + table.pendingLevels.size();
+        for (NodeId id : lines) {
+            double weight = table.pending.remove(id);
             orders.line(table.id, id, weight);
             if (weight > 0) {
                 table.laid.put(id, weight);
             } else {
                 table.laid.remove(id);
             }
-        });
+        }
         table.pendingLevels.forEach((method, level) ->
                 orders.level(table.id, method, level.admitted(), level.retry()));
-        table.pending.clear();
         table.pendingLevels.clear();
         table.flightSequence = sequence + 1;
         table.sentAt = now;
         for (Proxy proxy : users(table)) {
-            reach(proxy, lines);
+            reach(proxy, sent);
             table.inFlight.add(proxy.id);
         }
     }
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -70,6 +70,14 @@
         assertTrue(rig.since(place, "bind ").size() <= 12, rig.since(place, "bind ").toString());
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {200, 400, 2000})
+    void aChangeTooLargeForTheQueueLeavesInParts(double queue) {
+        Rig rig = new Rig(settings(queue, 30, method(1, Effect.IDEMPOTENT, Scope.ALL, 5))).start(2, 6);
+        rig.list(CHANGES, READY, LONG_AGO, IntStream.range(2, 40).toArray()).run(60);
+        assertTrue(IntStream.range(0, 40).allMatch(node -> rig.weight(1, node) > 0));
+    }
+
     @ParameterizedTest
     @EnumSource(value = Observer.NodeState.class, names = {"DRAINING", "GONE"})
     void aDrainDoesNotWaitForADeliveryInFlight(Observer.NodeState state) {
