--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -37,7 +37,7 @@
     /** What like machines showed counts as so much load of a node's own when its size is estimated. */
     private static final double PRIOR_LOAD = 0.1;
     /** A weight steps once per this, over this part of the gap, once the gap leaves the band. */
-    private static final long STEP_EVERY = 5 * SECOND / 2;
+    private static final long STEP_EVERY = SECOND;
     private static final double STEP_PART = 0.6;
     private static final double STEP_BAND = 0.08;
     /** Bounds of a weight against its start. */
