Sizes trusted by answers counted, over 20 reports

Cause: quicker steps followed the noise of thin sums. Like machines now weigh as 25 answers; machines are averaged over 20 reports, demand over 5.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -33,9 +33,11 @@
     private static final long TICK = SECOND / 10;
 
     /** Reports over which load and traffic are averaged (the design's window). */
-    private static final double WINDOW_REPORTS = 10;
-    /** What like machines showed counts as so much load of a node's own when its size is estimated. */
-    private static final double PRIOR_LOAD = 0.1;
+    private static final double WINDOW_REPORTS = 20;
+    /** Demand moves sooner than machines do. */
+    private static final double DEMAND_REPORTS = 5;
+    /** What like machines showed counts as so many answers of a node's own when its size is estimated. */
+    private static final double PRIOR_ANSWERS = 25;
     /** A weight steps once per this, over this part of the gap, once the gap leaves the band. */
     private static final long STEP_EVERY = SECOND;
     private static final double STEP_PART = 0.6;
@@ -196,8 +198,13 @@
 
     /** Counts over the time that they cover: late or missing sums leave the rate as it was. */
     private final class Rate {
-        private final Sum count = new Sum(WINDOW_REPORTS * settings.reportPeriod());
-        private final Sum covered = new Sum(WINDOW_REPORTS * settings.reportPeriod());
+        private final Sum count;
+        private final Sum covered;
+
+        Rate(double reports) {
+            count = new Sum(reports * settings.reportPeriod());
+            covered = new Sum(reports * settings.reportPeriod());
+        }
 
         void add(double part, double seconds) {
             count.add(now, part);
@@ -223,8 +230,8 @@
         double skill = 1;
         final TreeMap<ZoneId, Rate> answered = new TreeMap<>();
         final TreeMap<ZoneId, Rate> tried = new TreeMap<>();
-        Rate load = new Rate();
-        Rate latency = new Rate();
+        Rate load = new Rate(WINDOW_REPORTS);
+        Rate latency = new Rate(WINDOW_REPORTS);
         Sum tries = new Sum(HEALTH_WINDOW);
         Sum unanswered = new Sum(HEALTH_WINDOW);
         boolean sick;
@@ -247,8 +254,8 @@
             up = at;
             answered.clear();
             tried.clear();
-            load = new Rate();
-            latency = new Rate();
+            load = new Rate(WINDOW_REPORTS);
+            latency = new Rate(WINDOW_REPORTS);
             tries = new Sum(HEALTH_WINDOW);
             unanswered = new Sum(HEALTH_WINDOW);
             sick = false;
@@ -427,11 +434,11 @@
             node.tries.add(now, tries);
             node.unanswered.add(now, unanswered);
             double seconds = covers / (double) SECOND;
-            node.tried.computeIfAbsent(zone, z -> new Rate()).add(tries, seconds);
+            node.tried.computeIfAbsent(zone, z -> new Rate(DEMAND_REPORTS)).add(tries, seconds);
             if (node.cold()) {
                 return;
             }
-            node.answered.computeIfAbsent(zone, z -> new Rate()).add(tries - unanswered, seconds);
+            node.answered.computeIfAbsent(zone, z -> new Rate(WINDOW_REPORTS)).add(tries - unanswered, seconds);
             if (!Double.isNaN(utilization)) {
                 node.load.add(utilization * seconds, seconds);
             }
@@ -444,7 +451,7 @@
         public void offered(ProxyId id, MethodId method, int count, long covers) {
             Proxy proxy = proxies.get(id);
             if (proxy != null) {
-                proxy.offered.computeIfAbsent(method, m -> new Rate()).add(count, covers / (double) SECOND);
+                proxy.offered.computeIfAbsent(method, m -> new Rate(DEMAND_REPORTS)).add(count, covers / (double) SECOND);
             }
         }
 
@@ -515,11 +522,13 @@
             return;
         }
         double prior = unitOfKind.getOrDefault(node.kind, unit) * node.listed;
-        double size = Double.isNaN(load) ? prior
-                : (perSecond(node.answered) + PRIOR_LOAD * prior) / (load + PRIOR_LOAD);
-        if (Double.isNaN(load) && node.skill != 1) {
+        double answers = node.answered.values().stream().mapToDouble(r -> r.count.read(now)).sum();
+        double rate = perSecond(node.answered);
+        if (rate <= 0 && node.skill != 1) {
             return;
         }
+        double size = rate <= 0 || Double.isNaN(load) ? prior
+                : (answers + PRIOR_ANSWERS) / (answers * load / rate + PRIOR_ANSWERS / prior);
         double gap = size / (unit * node.size());
         if (Math.abs(gap - 1) > STEP_BAND) {
             node.skill = Math.max(LEAST_SKILL,
