--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -590,14 +590,15 @@
                     / Math.max(1, tries - node.tries.read(now));
             boolean fresh = newest - node.answeredAt < FRESH_REPORTS * settings.reportPeriod();
             boolean busy = fresh && node.load.known() && node.load.perSecond() > BUSY;
-            double bound = Math.max(busy ? SICK_SHARE_BUSY : SICK_SHARE, 2 * others + 0.15);
+            double plain = Math.max(SICK_SHARE, 2 * others + 0.15);
+            double bound = busy ? Math.max(SICK_SHARE_BUSY, plain) : plain;
             double share = node.unansweredShare();
             if (!node.sick && node.tries.read(now) >= LEAST_EVIDENCE && share > bound) {
                 node.sick = true;
                 node.sickSince = now;
                 orders.log("node " + node.id.value() + " sick: " + figure(share) + " of "
                         + figure(node.tries.read(now)) + " tries unanswered, others " + figure(others));
-            } else if (node.sick && node.tries.read(now) >= 2 && share < bound / 2) {
+            } else if (node.sick && node.tries.read(now) >= 2 && share < plain / 2) {
                 node.sick = false;
                 node.wellSince = now;
                 orders.log("node " + node.id.value() + " well: " + figure(share) + " unanswered after "
