--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -36,7 +36,7 @@
     /** Reports over which load and traffic are averaged (the design's window). */
     private static final double WINDOW_REPORTS = 20;
     /** Demand moves sooner than machines do. */
-    private static final double DEMAND_REPORTS = 5;
+    private static final double DEMAND_REPORTS = 2.5;
     /** What like machines showed counts as so many answers of a node's own when its size is estimated. */
     private static final double PRIOR_ANSWERS = 25;
     /** A weight steps once per this, over this part of the gap, once the gap leaves the band. */
@@ -88,7 +88,7 @@
     private static final double PART_DRAIN = 0.97;
 
     /** Levels: how often they are set, the load they aim at, when shedding starts and ends. */
-    private static final long LEVEL_EVERY = SECOND;
+    private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85;
     private static final double LEVEL_BAND = 0.1;
     private static final double SHED_FROM = 0.88;
