--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -81,7 +81,7 @@
 
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND;
-    private static final long DELIVERY_GAP = SECOND;
+    private static final long DELIVERY_GAP = SECOND / 2;
     /** Parts of the queue's and the messages' limits open to deliveries, to whole tables and to drains. */
     private static final double PART_DELIVERY = 0.5;
     private static final double PART_WHOLE = 0.8;
