--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -1,24 +1,9 @@
 package rosespread;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.*;
 import java.util.random.RandomGenerator;
-import rosespread.api.Feed;
-import rosespread.api.KindId;
-import rosespread.api.MethodId;
-import rosespread.api.NodeId;
+import rosespread.api.*;
 import rosespread.api.Observer;
-import rosespread.api.Orders;
-import rosespread.api.ProxyId;
-import rosespread.api.Settings;
-import rosespread.api.TableId;
-import rosespread.api.ZoneId;
 
 /**
  * All decisions of one conductor. The caller makes one Brain a conductor and calls {@link #round} once for
@@ -46,7 +31,7 @@
     /** Bounds of a weight against its start. */
     private static final double LEAST_SKILL = 0.25;
     private static final double MOST_SKILL = 3;
-    /** How far the spare part of capacity leans to larger nodes, the least part left to a small one, its pace. */
+    /** How far spare capacity leans to larger nodes, the least left to a small one, the pace, the most. */
     private static final double LEAN = 1.3;
     private static final double LEAST_LEAN = 0.25;
     private static final double LEAN_PACE = 0.05;
@@ -69,8 +54,6 @@
     private static final long TRIAL_AFTER = 4 * SECOND;
     /** Sick nodes may make up so much of a table's size; beyond, all count as well. */
     private static final double MOST_SICK = 0.5;
-    /** A node that is well again gains a quarter of its weight each. */
-    private static final long RETURN_STEP = 2 * SECOND;
     /** A node whose tries go unanswered is probed at the first pace, the others at the second. */
     private static final double SUSPECT_SHARE = 0.12;
     private static final long PROBE_SUSPECT = SECOND;
@@ -242,14 +225,13 @@
         double skill = 1;
         final TreeMap<ZoneId, Rate> answered = new TreeMap<>();
         final TreeMap<ZoneId, Rate> tried = new TreeMap<>();
-        Rate load = new Rate(WINDOW_REPORTS);
-        Rate latency = new Rate(WINDOW_REPORTS);
+        Rate load;
+        Rate latency;
         long answeredAt = NEVER;
-        Sum tries = new Sum(HEALTH_WINDOW);
-        Sum unanswered = new Sum(HEALTH_WINDOW);
+        Sum tries;
+        Sum unanswered;
         boolean sick;
         long sickSince;
-        long wellSince = Long.MIN_VALUE;
         boolean probing;
         long probedAt;
         boolean withdrawn;
@@ -257,6 +239,7 @@
 
         Node(NodeId id) {
             this.id = id;
+            restart(Long.MIN_VALUE);
         }
 
         boolean ready() {
@@ -264,7 +247,7 @@
         }
 
         /** A process that has just started tells nothing of the machine; its skill is kept from before. */
-        void restart(long at) {
+        final void restart(long at) {
             up = at;
             answered.clear();
             tried.clear();
@@ -273,7 +256,6 @@
             tries = new Sum(HEALTH_WINDOW);
             unanswered = new Sum(HEALTH_WINDOW);
             sick = false;
-            wellSince = Long.MIN_VALUE;
         }
 
         boolean cold() {
@@ -331,6 +313,8 @@
 
     private record Level(double admitted, Orders.Retry retry) { }
 
+    private static final Level UNSET = new Level(Double.POSITIVE_INFINITY, Orders.Retry.NEVER_RAN);
+
     private static final class Table {
         final TableId id;
         final Settings.Method like;
@@ -355,7 +339,7 @@
 
         boolean serves(Settings.Method method, ZoneId zone) {
             return like.onlyKinds().equals(method.onlyKinds()) && like.onlyZones().equals(method.onlyZones())
-                    && java.util.Objects.equals(home, zone);
+                    && Objects.equals(home, zone);
         }
 
         boolean open(Node node) {
@@ -453,7 +437,8 @@
             if (node.cold()) {
                 return;
             }
-            node.answered.computeIfAbsent(zone, z -> new Rate(WINDOW_REPORTS)).add(tries - unanswered, seconds);
+            node.answered.computeIfAbsent(zone, z -> new Rate(WINDOW_REPORTS))
+                    .add(tries - unanswered, seconds);
             if (!Double.isNaN(utilization)) {
                 node.load.add(utilization * seconds, seconds);
             }
@@ -466,7 +451,8 @@
         public void offered(ProxyId id, MethodId method, int count, long covers) {
             Proxy proxy = proxies.get(id);
             if (proxy != null) {
-                proxy.offered.computeIfAbsent(method, m -> new Rate(DEMAND_REPORTS)).add(count, covers / (double) SECOND);
+                proxy.offered.computeIfAbsent(method, m -> new Rate(DEMAND_REPORTS))
+                        .add(count, covers / (double) SECOND);
             }
         }
 
@@ -537,8 +523,8 @@
     }
 
     /**
-     * Steps a weight towards what the node answers for its load, over a part of the gap. Without fresh answers
-     * the weight stays: guards against late or missing sums being read as a change of the machine.
+     * Steps a weight towards what the node answers for its load, over a part of the gap. Without fresh
+     * answers the weight stays: guards against late or missing sums being read as a change of the machine.
      */
     private void step(Node node, double load) {
         if (node.sick) {
@@ -566,7 +552,20 @@
 
     /** RPCs a second that the ready nodes open to a table can do by now; NaN before anything was heard. */
     private double capacity(Table table) {
-        return unit * ready().stream().filter(table::open).mapToDouble(n -> n.size() * present(n, table)).sum();
+        return unit * open(table).stream().mapToDouble(n -> n.size() * present(n, table)).sum();
+    }
+
+    /** The most that any table's nodes can do: of nested sets, the whole. */
+    private double able() {
+        return tables.stream().mapToDouble(this::capacity).max().orElse(0);
+    }
+
+    private List<Node> open(Table table) {
+        return ready().stream().filter(table::open).toList();
+    }
+
+    private static double size(List<Node> nodes, boolean sickOnly) {
+        return nodes.stream().filter(n -> n.sick || !sickOnly).mapToDouble(Node::size).sum();
     }
 
     private double present(Node node, Table table) {
@@ -577,9 +576,9 @@
 
     /**
      * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
-     * hang or are lost before the list tells. A busy node that leaves tries unanswered is overloaded, not sick:
-     * taking it out would push the others over; weights and levels answer that. The judgement does harm if a
-     * few RPCs cost far more than usual at one node only; the trickle and the trial bring such a node back.
+     * hang or are lost before the list tells. A busy node that still answers is overloaded, not sick: taking
+     * it out would push the others over; weights and levels answer that. The judgement does harm if a few
+     * RPCs cost far more than usual at one node only; the trickle and the trial bring such a node back.
      */
     private void judge() {
         double tries = ready().stream().mapToDouble(n -> n.tries.read(now)).sum();
@@ -600,34 +599,29 @@
                         + figure(node.tries.read(now)) + " tries unanswered, others " + figure(others));
             } else if (node.sick && node.tries.read(now) >= 2 && share < plain / 2) {
                 node.sick = false;
-                node.wellSince = now;
                 orders.log("node " + node.id.value() + " well: " + figure(share) + " unanswered after "
                         + figure((now - node.sickSince) / (double) SECOND) + " s");
             }
         }
         for (Table table : tables) {
-            List<Node> open = ready().stream().filter(table::open).toList();
-            double sick = open.stream().filter(n -> n.sick).mapToDouble(Node::size).sum();
-            double all = open.stream().mapToDouble(Node::size).sum();
+            double sick = size(open(table), true);
+            double all = size(open(table), false);
             boolean panic = sick > MOST_SICK * all;
             if (panic != table.panic) {
                 table.panic = panic;
-                orders.log("table " + table.id.value() + (panic ? " counts all nodes as well: " : " trusts health: ")
-                        + figure(sick) + " of " + figure(all) + " sick");
+                String mode = panic ? " counts all nodes as well: " : " trusts health: ";
+                orders.log("table " + table.id.value() + mode + figure(sick) + " of " + figure(all)
+                        + " sick");
             }
         }
     }
 
-    /** The part of its weight that health leaves a node; a panic bound keeps sick nodes from emptying a table. */
+    /** The part of its weight that health leaves a node; a panic bound keeps a table from emptying. */
     private double fitness(Node node, Table table) {
-        if (table.panic) {
+        if (table.panic || !node.sick) {
             return 1;
         }
-        if (node.sick) {
-            return now - node.sickSince < TRIAL_AFTER ? TRICKLE : TRIAL;
-        }
-        return node.wellSince == Long.MIN_VALUE ? 1
-                : Math.min(1, 0.25 * (1 + (now - node.wellSince) / RETURN_STEP));
+        return now - node.sickSince < TRIAL_AFTER ? TRICKLE : TRIAL;
     }
 
     private void probe() {
@@ -645,7 +639,7 @@
     }
 
     private static String figure(double value) {
-        return String.format(java.util.Locale.ROOT, "%.2f", value);
+        return String.format(Locale.ROOT, "%.2f", value);
     }
 
     // ---- commit ----
@@ -654,36 +648,36 @@
     private void commit() {
         TreeMap<NodeId, Double> spoken = new TreeMap<>();
         List<Table> byRoom = new ArrayList<>(tables);
-        byRoom.sort(Comparator.comparingLong(t -> ready().stream().filter(t::open).count()));
+        byRoom.sort(Comparator.comparingInt(t -> open(t).size()));
         for (Table table : byRoom) {
             Map<NodeId, Double> wanted = wanted(table, spoken);
             if (wanted.isEmpty()) {
                 continue;
             }
-            boolean changed = false;
-            for (NodeId id : List.copyOf(table.committed.keySet())) {
-                if (!wanted.containsKey(id)) {
-                    table.committed.remove(id);
-                    stage(table, id, 0);
-                    changed = true;
-                }
-            }
-            for (Map.Entry<NodeId, Double> line : wanted.entrySet()) {
-                Double old = table.committed.get(line.getKey());
-                if (old == null || Math.abs(line.getValue() - old) > LINE_BAND * old) {
-                    table.committed.put(line.getKey(), line.getValue());
-                    stage(table, line.getKey(), line.getValue());
-                    changed = true;
+            boolean[] changed = new boolean[1];
+            table.committed.keySet().forEach(id -> wanted.putIfAbsent(id, 0.0));
+            wanted.forEach((id, weight) -> {
+                double old = table.committed.getOrDefault(id, 0.0);
+                if (Math.abs(weight - old) > LINE_BAND * old || weight == 0) {
+                    stage(table, id, weight);
+                    changed[0] = true;
                 }
-            }
-            if (changed) {
-                table.version++;
-            }
+            });
+            table.version += changed[0] ? 1 : 0;
+        }
+    }
+
+    private static void put(Map<NodeId, Double> lines, NodeId id, double weight) {
+        if (weight > 0) {
+            lines.put(id, weight);
+        } else {
+            lines.remove(id);
         }
     }
 
     /** A newer change overwrites the pending one; one that leads back to what is laid drops out. */
     private static void stage(Table table, NodeId id, double weight) {
+        put(table.committed, id, weight);
         if (table.laid.getOrDefault(id, 0.0) == weight) {
             table.pending.remove(id);
         } else {
@@ -692,12 +686,13 @@
     }
 
     /**
-     * Each open node by its size, what more restricted tables take of it, its warmth and its health. The bound
-     * on cold nodes guards against a site that returns cold into a storm of repeats, also under a conductor
-     * that has just started and has heard no sums; it does harm where warm nodes are the overloaded ones.
+     * Each open node by its size, what more restricted tables take of it, its warmth and its health. The
+     * bound on cold nodes guards against a site that returns cold into a storm of repeats, also under a
+     * conductor that has just started and has heard no sums; it does harm where the warm nodes are the
+     * overloaded ones.
      */
     private Map<NodeId, Double> wanted(Table table, Map<NodeId, Double> spoken) {
-        List<Node> open = ready().stream().filter(table::open).toList();
+        List<Node> open = open(table);
         double mean = open.stream().mapToDouble(n -> n.listed).average().orElse(1);
         double load = loadRatio();
         Map<NodeId, Double> wanted = new TreeMap<>();
@@ -732,8 +727,7 @@
             return 0;
         }
         double tried = nodes.values().stream().mapToDouble(n -> perSecond(n.tried)).sum();
-        double able = ready().stream().mapToDouble(n -> n.size() * present(n, tables.get(0))).sum() * unit;
-        return tried / Math.max(able, 1e-9);
+        return tried / Math.max(able(), 1e-9);
     }
 
     // ---- deliver ----
@@ -741,7 +735,8 @@
     /** A drain waits for no delivery: the node is shut out at once, its lines go with the next one. */
     private void withdrawDrained() {
         for (Node node : nodes.values()) {
-            if (!node.ready() && !node.withdrawn && tables.stream().anyMatch(t -> t.laid.containsKey(node.id))) {
+            boolean laid = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
+            if (laid && !node.ready() && !node.withdrawn) {
                 node.withdrawn = true;
                 node.withdrawnAt = now;
                 orders.withdraw(node.id, true);
@@ -752,8 +747,8 @@
 
     /**
      * Lets a node in again once no table has a line of it left to send. A cold one stays out until what old
-     * tables sent it lies behind: guards against a conductor that restarts as a lost site returns, and against
-     * a list that flaps; it keeps a node idle for a few seconds where nobody had sent there.
+     * tables sent it lies behind: guards against a conductor that restarts as a lost site returns, and a
+     * list that flaps; it keeps a node idle for a few seconds where nobody had sent there.
      */
     private void readmit() {
         long clear = settings.drainGrace() + settings.coldWindow();
@@ -803,6 +798,10 @@
         long patience = patience();
         for (Table table : tables) {
             if (!table.inFlight.isEmpty() && now - table.sentAt > patience) {
+                orders.log("table " + table.id.value() + " version " + table.version + ": "
+                        + table.inFlight.size() + " proxies owe an answer after "
+                        + figure(patience / (double) SECOND) + " s, " + figure(waiting())
+                        + " lines out; bound again");
                 table.inFlight.stream().map(proxies::get)
                         .forEach(proxy -> proxy.owed |= proxy.wholeSequence < table.flightSequence);
                 table.inFlight.clear();
@@ -847,8 +846,8 @@
     }
 
     /**
-     * Sends each table's pending delivery if none is in flight and the budget has room; what does not fit stays
-     * pending. Guards against a change too large for the channel, which would otherwise never leave.
+     * Sends each table's pending delivery if none is in flight and the budget has room; what does not fit
+     * stays pending. Guards against a change too large for the channel, which would otherwise never leave.
      */
     private void deliver() {
         for (Table table : tables) {
@@ -885,17 +884,14 @@
     /** Sends levels and so many lines, those that take a node's share down first. */
     private void send(Table table, int most) {
         List<NodeId> lines = new ArrayList<>(table.pending.keySet());
-        lines.sort(Comparator.comparingDouble(id -> table.pending.get(id) - table.laid.getOrDefault(id, 0.0)));
+        lines.sort(Comparator.comparingDouble(id -> table.pending.get(id)
+                - table.laid.getOrDefault(id, 0.0)));
         lines = lines.subList(0, Math.min(most, lines.size()));
         int sent = lines.size() + table.pendingLevels.size();
         for (NodeId id : lines) {
             double weight = table.pending.remove(id);
             orders.line(table.id, id, weight);
-            if (weight > 0) {
-                table.laid.put(id, weight);
-            } else {
-                table.laid.remove(id);
-            }
+            put(table.laid, id, weight);
         }
         table.pendingLevels.forEach((method, level) ->
                 orders.level(table.id, method, level.admitted(), level.retry()));
@@ -955,12 +951,8 @@
     }
 
     private void judgeLoad() {
-        double offered = 0;
-        double able = 0;
-        for (Table table : tables) {
-            offered += demand(table);
-            able = Math.max(able, capacity(table));
-        }
+        double offered = tables.stream().mapToDouble(this::demand).sum();
+        double able = able();
         double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
         boolean shed = settings.throttle() != Settings.Throttle.NONE
                 && ratio > (shedding ? SHED_UNTIL : SHED_FROM);
@@ -969,9 +961,9 @@
             orders.log((shed ? "shedding: offered " : "shedding ends: offered ") + figure(offered)
                     + "/s, able " + figure(able) + "/s");
         }
-        double sick = ready().stream().filter(n -> n.sick).mapToDouble(Node::size).sum();
-        double all = ready().stream().mapToDouble(Node::size).sum();
-        boolean retry = sick > 0 && sick < RETRY_SICK * all && ratio < (retrying ? RETRY_UNTIL : RETRY_FROM);
+        double sick = size(ready(), true);
+        boolean retry = sick > 0 && sick < RETRY_SICK * size(ready(), false)
+                && ratio < (retrying ? RETRY_UNTIL : RETRY_FROM);
         if (retry != retrying) {
             retrying = retry;
             orders.log((retry ? "retries on: load " : "retries off: load ") + figure(ratio));
@@ -985,7 +977,7 @@
             byCriticality.computeIfAbsent(settings.methods().get(m).criticality(), c -> new ArrayList<>())
                     .add(new MethodId(m));
         }
-        double left = LEVEL_LOAD * tables.stream().mapToDouble(this::capacity).max().orElse(0);
+        double left = LEVEL_LOAD * able();
         TreeMap<MethodId, Double> shares = new TreeMap<>();
         for (List<MethodId> equals : byCriticality.values()) {
             double wanted = equals.stream().mapToDouble(this::demand).sum();
@@ -1003,7 +995,7 @@
         }
         double[] rates = proxies.values().stream().filter(p -> p.offered.containsKey(method))
                 .mapToDouble(p -> p.offered.get(method).perSecond()).sorted().toArray();
-        double left = share * java.util.Arrays.stream(rates).sum();
+        double left = share * Arrays.stream(rates).sum();
         for (int i = 0; i < rates.length; i++) {
             if (rates[i] * (rates.length - i) >= left) {
                 return left / (rates.length - i);
@@ -1014,7 +1006,7 @@
     }
 
     private void commitLevel(Table table, MethodId method, Level level) {
-        Level old = table.levels.getOrDefault(method, new Level(Double.POSITIVE_INFINITY, Orders.Retry.NEVER_RAN));
+        Level old = table.levels.getOrDefault(method, UNSET);
         boolean moved = Double.isInfinite(old.admitted()) != Double.isInfinite(level.admitted())
                 || Math.abs(level.admitted() - old.admitted()) > LEVEL_BAND * old.admitted();
         if (moved || old.retry() != level.retry()) {
--- a/src/main/java/rosespread/adapter/Names.java
+++ b/src/main/java/rosespread/adapter/Names.java
@@ -13,7 +13,7 @@
 import rosespread.api.Settings;
 import rosespread.api.ZoneId;
 
-/** The names that one conductor's settings give, and the settings themselves; names go no further than here. */
+/** The names that one conductor's settings give, and the settings themselves; names end here. */
 final class Names {
     private final Map<String, Integer> zones = new TreeMap<>();
     private final Map<String, Integer> kinds = new TreeMap<>();
@@ -54,8 +54,8 @@
 
     double utilization(Fields event) throws WireException {
         List<?> report = event.array("report");
-        return utilization >= 0 && utilization < report.size() && report.get(utilization) instanceof Number value
-                ? value.doubleValue() : Double.NaN;
+        boolean told = utilization >= 0 && utilization < report.size();
+        return told && report.get(utilization) instanceof Number value ? value.doubleValue() : Double.NaN;
     }
 
     static Observer.Verdict verdict(String name) {
@@ -129,7 +129,6 @@
                     default -> Settings.Scope.ALL;
                 },
                 method.nanos("window", 0),
-                method.nanos("promise"),
                 method.nanos("giveUp"),
                 places(method, "onlyKinds", name -> kind(name).value(), KindId::new),
                 places(method, "onlyZones", name -> zone(name).value(), ZoneId::new),
--- a/src/main/java/rosespread/api/Observer.java
+++ b/src/main/java/rosespread/api/Observer.java
@@ -28,7 +28,8 @@
      * What the proxies of a zone met at a node. A measure that did not come is NaN: latency in seconds,
      * utilization as the busy share of the node's cores.
      */
-    void sums(NodeId node, ZoneId zone, int tries, int unanswered, double latency, long covers, double utilization);
+    void sums(NodeId node, ZoneId zone, int tries, int unanswered, double latency, long covers,
+            double utilization);
 
     /** RPCs of a method that came to a proxy, pushed back ones and clients' repeats among them. */
     void offered(ProxyId proxy, MethodId method, int count, long covers);
--- a/src/main/java/rosespread/api/Orders.java
+++ b/src/main/java/rosespread/api/Orders.java
@@ -1,6 +1,6 @@
 package rosespread.api;
 
-/** Takes a round's decisions as they are made; all of one round leave as one message for each proxy reached. */
+/** Takes a round's decisions as they are made; those of one round leave as one message for each proxy. */
 public interface Orders {
     /** The way a proxy tries again: after proof that the first try never ran, or once after any failure. */
     enum Retry { NEVER_RAN, ANY_ONCE }
@@ -14,7 +14,7 @@
     /** Shuts a node out of everything that the joined proxies hold, or lets it in again. */
     void withdraw(NodeId node, boolean out);
 
-    /** Lets in so much of a method at each proxy of the table (infinite: all), and says how it tries again. */
+    /** Lets in so much of a method at each proxy of the table (infinite: all); says how it tries again. */
     void level(TableId table, MethodId method, double admitted, Retry retry);
 
     /** Asks each proxy that this round reaches to answer with this number, 0 to 65535. */
--- a/src/main/java/rosespread/api/Settings.java
+++ b/src/main/java/rosespread/api/Settings.java
@@ -29,7 +29,6 @@
             Effect effect,
             Scope scope,
             long window,
-            long softDeadline,
             long deadline,
             Set<KindId> onlyKinds,
             Set<ZoneId> onlyZones,
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -30,7 +30,8 @@
         Rig rig = new Rig(settings());
         rig.start(nodes, proxies);
         List<String> binds = rig.since(0, "bind ");
-        List<String> wanted = IntStream.range(0, proxies).mapToObj(p -> "bind " + (proxies - 1 - p) + " 1").toList();
+        List<String> wanted = IntStream.range(0, proxies)
+                .mapToObj(p -> "bind " + (proxies - 1 - p) + " 1").toList();
         assertEquals(wanted, binds);
     }
 
--- a/src/test/java/rosespread/Rig.java
+++ b/src/test/java/rosespread/Rig.java
@@ -30,13 +30,14 @@
         brain = new Brain(settings, new SplittableRandom(7));
     }
 
-    static Settings.Method method(double criticality, Effect effect, Scope scope, double window, int... kinds) {
+    static Settings.Method method(double criticality, Effect effect, Scope scope, double window,
+            int... kinds) {
         Set<KindId> only = new java.util.TreeSet<>();
         for (int kind : kinds) {
             only.add(new KindId(kind));
         }
-        return new Settings.Method(criticality, effect, scope, (long) (window * SECOND), SECOND, 2 * SECOND, only,
-                Set.of(), false);
+        long nanos = (long) (window * SECOND);
+        return new Settings.Method(criticality, effect, scope, nanos, 2 * SECOND, only, Set.of(), false);
     }
 
     /** A deployment of one zone whose channel holds so many lines and which pushes so many messages. */
@@ -78,7 +79,8 @@
     }
 
     Rig sums(int node, int tries, int unanswered, double utilization) {
-        return with(o -> o.sums(new NodeId(node), new ZoneId(0), tries, unanswered, 0.1, SECOND, utilization));
+        ZoneId zone = new ZoneId(0);
+        return with(o -> o.sums(new NodeId(node), zone, tries, unanswered, 0.1, SECOND, utilization));
     }
 
     Rig offered(int proxy, int method, int count) {
