Letting a node in again keeps to the message limit; tests for busy nodes and message limits

A list that flaps could have written a proxy one message more than its limit through the readmission alone.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -18,7 +18,7 @@
     /** How often the module looks when nothing comes in. */
     private static final long TICK = SECOND / 10;
 
-    /** Reports over which load and traffic are averaged (the design's window). */
+    /** Reports over which load and answers are averaged. */
     private static final double WINDOW_REPORTS = 20;
     /** Demand moves sooner than machines do. */
     private static final double DEMAND_REPORTS = 2.5;
@@ -39,7 +39,7 @@
     /** A line is committed anew when it differs by more than this part. */
     private static final double LINE_BAND = 0.07;
 
-    /** Evidence of a node's health: its half-life as a time constant, what a probe counts, what suffices. */
+    /** Evidence of health: how fast it decays, what a probe counts, what suffices, from what share. */
     private static final long HEALTH_WINDOW = 3 * SECOND;
     private static final double PROBE_TRIES = 3;
     private static final double LEAST_EVIDENCE = 7;
@@ -65,12 +65,11 @@
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND;
     private static final long DELIVERY_GAP = SECOND / 2;
-    /** Parts of the queue's and the messages' limits open to deliveries, to whole tables and to drains. */
+    /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
     private static final double PART_DELIVERY = 0.5;
     private static final double PART_WHOLE = 0.8;
-    private static final double PART_DRAIN = 0.97;
 
-    /** Levels: how often they are set, the load they aim at, when shedding starts and ends. */
+    /** Levels: how often they are set, the load they keep to, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85;
     private static final double LEVEL_BAND = 0.1;
@@ -755,7 +754,8 @@
         for (Node node : nodes.values()) {
             if (node.ready() && node.withdrawn && (!node.cold() || now - node.withdrawnAt > clear)
                     && tables.stream().noneMatch(t -> t.pending.containsKey(node.id))
-                    && room(PART_WHOLE) > proxies.size() * (settings.linesPerMessage() + 2)) {
+                    && room(PART_WHOLE) > proxies.size() * (settings.linesPerMessage() + 2)
+                    && proxies.values().stream().allMatch(p -> mayWrite(p, PART_WHOLE))) {
                 node.withdrawn = false;
                 orders.withdraw(node.id, false);
                 reachHolders(node.id);
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -124,6 +124,32 @@
         assertEquals(trusted, sickest < 0.2, "weight " + sickest);
     }
 
+    @ParameterizedTest
+    @CsvSource({"0.95, 5, false", "0.95, 10, true", "0.4, 5, true", "0.4, 1, false", "NaN, 10, true"})
+    void anOverloadedNodeThatStillAnswersIsNotSick(double utilization, int unanswered, boolean sick) {
+        Rig rig = new Rig(settings()).start(8, 2);
+        for (int i = 0; i < 8; i++) {
+            for (int node = 0; node < 8; node++) {
+                rig.sums(node, 10, node == 0 && i > 1 ? unanswered : 0, node == 0 ? utilization : 0.5);
+            }
+            rig.run(1);
+        }
+        assertEquals(sick, !rig.since(0, "log node 0 sick").isEmpty());
+        assertEquals(List.of(), rig.since(0, "log node 0 well"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {6, 10, 20})
+    void noProxyIsWrittenMoreMessagesThanItsLimit(int limit) {
+        Rig rig = new Rig(settings(5000, limit, method(1, Effect.IDEMPOTENT, Scope.ALL, 5))).start(2, 3);
+        int place = rig.all.size();
+        for (int node = 2; node < 42; node++) {
+            rig.list(CHANGES, READY, LONG_AGO, node).run(0.2);
+        }
+        assertTrue(rig.since(place, "mark ").size() < limit, rig.since(place, "mark ").toString());
+        assertTrue(rig.weight(1, 2) > 0);
+    }
+
     @ParameterizedTest
     @CsvSource({"0.9, 0.3", "0.8, 0.4"})
     void weightsFollowTheLoadAndSilenceChangesNothing(double busy, double idle) {
