--- a/src/test/java/rosespread/AdapterTest.java
+++ b/src/test/java/rosespread/AdapterTest.java
@@ -18,7 +18,8 @@
     private static final String INFO = "{'azs':['a'],'kinds':['k','l'],'profiles':[{'name':'m',"
             + "'effect':'safe','importance':1,'giveUp':2,'onlyKinds':['l'],'new':{}}],"
             + "'domain':{'channelRate':1000,'overhead':4,'queueCap':1500,'reportEvery':1,'throttleBy':'rps'},"
-            + "'contract':{'stopSendingWithin':2,'cold':16,'coldShare':0.2,'overloadFor':1.5},'policyLimits':{},'report':{'columns':['utilization']}}";
+            + "'contract':{'stopSendingWithin':2,'cold':16,'coldShare':0.2,'overloadFor':1.5},"
+            + "'policyLimits':{},'report':{'columns':['utilization']}}";
     private static final String LIST = "{'msg':'Topology','conductorId':CID,'rev':0,'kind':'Persisted',"
             + "'elements':[{'w':1,'zone':'a','node':7,'lifecycle':'ready','cameUp':null,'kind':'k'},"
             + "{'w':1,'zone':'a','node':4000000000,'lifecycle':'ready','cameUp':0,'kind':'l','stripe':0}]}";
