--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -75,11 +75,6 @@
     private static final double LEVEL_BAND = 0.1;
     private static final double SHED_FROM = 0.88;
     private static final double SHED_UNTIL = 0.78;
-    /** The mean utilization from which the estimate of ability loses trust, and how fast. */
-    private static final double STRAINED = 0.93;
-    private static final double LEAST_TRUST = 0.4;
-    private static final double TRUST_DOWN = 0.96;
-    private static final double TRUST_UP = 1.02;
     /** Tries after any failure end at the first load and come back below the second. */
     private static final double RETRY_SICK = 0.25;
     private static final double RETRY_UNTIL = 0.65;
@@ -102,8 +97,6 @@
     private final RandomGenerator random;
     private long nextLevel;
     private double slack;
-    private final Rate busy;
-    private double trust = 1;
     private boolean shedding;
     private boolean retrying;
     private double unit = Double.NaN;
@@ -112,7 +105,6 @@
     public Brain(Settings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
-        this.busy = new Rate(DEMAND_REPORTS);
         layOutTables();
     }
 
@@ -447,7 +439,6 @@
             node.answered.computeIfAbsent(zone, z -> new Rate(WINDOW_REPORTS))
                     .add(tries - unanswered, seconds);
             if (!Double.isNaN(utilization)) {
-                busy.add(utilization * seconds, seconds);
                 node.load.add(utilization * seconds, seconds);
             }
             if (!Double.isNaN(latency)) {
@@ -959,16 +950,9 @@
         }
     }
 
-    /**
-     * Judges offered load against what the nodes can do. While they are busy all over, the estimate is trusted
-     * less each time: guards against machines or RPCs that grow slower sooner than the averages tell, and
-     * surges; it sheds too much if utilization is reported too high.
-     */
     private void judgeLoad() {
-        trust = busy.perSecond() > STRAINED ? Math.max(LEAST_TRUST, trust * TRUST_DOWN)
-                : Math.min(1, trust * TRUST_UP);
         double offered = tables.stream().mapToDouble(this::demand).sum();
-        double able = able() * trust;
+        double able = able();
         double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
         boolean shed = settings.throttle() != Settings.Throttle.NONE
                 && ratio > (shedding ? SHED_UNTIL : SHED_FROM);
@@ -993,7 +977,7 @@
             byCriticality.computeIfAbsent(settings.methods().get(m).criticality(), c -> new ArrayList<>())
                     .add(new MethodId(m));
         }
-        double left = LEVEL_LOAD * able() * trust;
+        double left = LEVEL_LOAD * able();
         TreeMap<MethodId, Double> shares = new TreeMap<>();
         for (List<MethodId> equals : byCriticality.values()) {
             double wanted = equals.stream().mapToDouble(this::demand).sum();
