--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -19,7 +19,7 @@
     private static final long TICK = SECOND / 10;
 
     /** Reports over which load and answers are averaged. */
-    private static final double WINDOW_REPORTS = 10;
+    private static final double WINDOW_REPORTS = 20;
     /** Demand moves sooner than machines do. */
     private static final double DEMAND_REPORTS = 2.5;
     /** What like machines showed counts as so many answers of a node's own when its size is estimated. */
