One freshness check, the load ratio once a commit, no unread probe figure

The judgement of health had a copy of the freshness check; the load ratio was computed again for each table; a probe's utilization was decoded and never read; a comment on the retry bounds named only two of three.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -75,12 +75,13 @@
     private static final double LEVEL_BAND = 0.1;
     private static final double SHED_FROM = 0.88;
     private static final double SHED_UNTIL = 0.78;
-    /** Tries after any failure end at the first load and come back below the second. */
+    /** Tries after any failure: the part of all size that may be sick, the loads where they end and begin. */
     private static final double RETRY_SICK = 0.25;
     private static final double RETRY_UNTIL = 0.65;
     private static final double RETRY_FROM = 0.55;
 
     private final Settings settings;
+    private final RandomGenerator random;
     private final TreeMap<NodeId, Node> nodes = new TreeMap<>();
     private final TreeMap<ProxyId, Proxy> proxies = new TreeMap<>();
     private final List<Table> tables = new ArrayList<>();
@@ -94,7 +95,6 @@
     private boolean listLost;
     private boolean awake;
     private long nextStep;
-    private final RandomGenerator random;
     private long nextLevel;
     private double slack;
     private boolean shedding;
@@ -457,7 +457,7 @@
 
         /** A probe that was pushed back tells nothing of the node's health. */
         @Override
-        public void probed(NodeId id, Verdict verdict, double utilization) {
+        public void probed(NodeId id, Verdict verdict) {
             Node node = nodes.get(id);
             if (node == null) {
                 return;
@@ -504,11 +504,11 @@
         byKind.forEach((kind, s) -> unitOfKind.put(kind, s[0] / s[1]));
         if (now >= nextStep) {
             nextStep = now + STEP_EVERY;
-            if (ready().stream().anyMatch(this::fresh)) {
+            if (ready().stream().anyMatch(n -> fresh(n, now))) {
                 double spare = Math.max(0, Math.min(MOST_SLACK, 1 - loadRatio()));
                 slack = shedding ? 0 : Math.min(slack + LEAN_PACE, spare);
             }
-            ready().stream().filter(n -> fresh(n) || n.answeredAt == NEVER)
+            ready().stream().filter(n -> fresh(n, now) || n.answeredAt == NEVER)
                     .forEach(node -> step(node, load(node, meanLatency)));
         }
     }
@@ -541,8 +541,8 @@
         }
     }
 
-    private boolean fresh(Node node) {
-        return now - node.answeredAt < FRESH_REPORTS * settings.reportPeriod();
+    private boolean fresh(Node node, long at) {
+        return at - node.answeredAt < FRESH_REPORTS * settings.reportPeriod();
     }
 
     private List<Node> ready() {
@@ -586,8 +586,7 @@
         for (Node node : ready()) {
             double others = (unanswered - node.unanswered.read(now))
                     / Math.max(1, tries - node.tries.read(now));
-            boolean fresh = newest - node.answeredAt < FRESH_REPORTS * settings.reportPeriod();
-            boolean busy = fresh && node.load.known() && node.load.perSecond() > BUSY;
+            boolean busy = fresh(node, newest) && node.load.known() && node.load.perSecond() > BUSY;
             double plain = Math.max(SICK_SHARE, 2 * others + 0.15);
             double bound = busy ? Math.max(SICK_SHARE_BUSY, plain) : plain;
             double share = node.unansweredShare();
@@ -646,23 +645,25 @@
     /** Commits what truly differs, each change together with the table's one pending delivery. */
     private void commit() {
         TreeMap<NodeId, Double> spoken = new TreeMap<>();
+        double load = loadRatio();
         List<Table> byRoom = new ArrayList<>(tables);
         byRoom.sort(Comparator.comparingInt(t -> open(t).size()));
         for (Table table : byRoom) {
-            Map<NodeId, Double> wanted = wanted(table, spoken);
+            Map<NodeId, Double> wanted = wanted(table, load, spoken);
             if (wanted.isEmpty()) {
                 continue;
             }
-            boolean[] changed = new boolean[1];
             table.committed.keySet().forEach(id -> wanted.putIfAbsent(id, 0.0));
-            wanted.forEach((id, weight) -> {
-                double old = table.committed.getOrDefault(id, 0.0);
+            boolean changed = false;
+            for (Map.Entry<NodeId, Double> line : wanted.entrySet()) {
+                double weight = line.getValue();
+                double old = table.committed.getOrDefault(line.getKey(), 0.0);
                 if (Math.abs(weight - old) > LINE_BAND * old || weight == 0) {
-                    stage(table, id, weight);
-                    changed[0] = true;
+                    stage(table, line.getKey(), weight);
+                    changed = true;
                 }
-            });
-            table.version += changed[0] ? 1 : 0;
+            }
+            table.version += changed ? 1 : 0;
         }
     }
 
@@ -690,10 +691,9 @@
      * conductor that has just started and has heard no sums; it does harm where the warm nodes are the
      * overloaded ones.
      */
-    private Map<NodeId, Double> wanted(Table table, Map<NodeId, Double> spoken) {
+    private Map<NodeId, Double> wanted(Table table, double load, Map<NodeId, Double> spoken) {
         List<Node> open = open(table);
         double mean = open.stream().mapToDouble(n -> n.listed).average().orElse(1);
-        double load = loadRatio();
         Map<NodeId, Double> wanted = new TreeMap<>();
         for (Node node : open) {
             double size = node.size();
--- a/src/main/java/rosespread/adapter/Conductor.java
+++ b/src/main/java/rosespread/adapter/Conductor.java
@@ -70,8 +70,7 @@
             case "PingResult" -> {
                 NodeId node = node(event);
                 Observer.Verdict verdict = Names.verdict(event.text("verdict"));
-                double utilization = names.utilization(event);
-                calls.add(observer -> observer.probed(node, verdict, utilization));
+                calls.add(observer -> observer.probed(node, verdict));
             }
             case "Wakeup" -> calls.add(Observer::woke);
             default -> { }
--- a/src/main/java/rosespread/api/Observer.java
+++ b/src/main/java/rosespread/api/Observer.java
@@ -34,7 +34,7 @@
     /** RPCs of a method that came to a proxy, pushed back ones and clients' repeats among them. */
     void offered(ProxyId proxy, MethodId method, int count, long covers);
 
-    void probed(NodeId node, Verdict verdict, double utilization);
+    void probed(NodeId node, Verdict verdict);
 
     /** A wake-up ordered earlier is due. */
     void woke();
