--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -7,14 +7,13 @@
 
 /**
  * All decisions of one conductor. The caller makes one Brain a conductor and calls {@link #round} once for
- * each round with all that came in; the orders go straight into the writer. The interface is rosespread.api.
- * The order below: observe, estimate, judge health, commit, deliver, levels and retries. The mechanism is
- * commit and deliver: lines that truly change are committed together with one pending delivery per table,
- * one delivery is in flight per table, the proxies' answers settle it, laggards are bound again.
+ * each round with all that came in; the orders go straight into the writer. Its interface is rosespread.api.
+ * The order below: observe, estimate, judge health, commit, deliver, levels. The mechanism is commit and
+ * deliver: lines that truly change are committed with one pending delivery per table, one delivery is in
+ * flight per table, the proxies' answers settle it, laggards are bound again.
  */
 public final class Brain {
-    private static final long SECOND = 1_000_000_000L;
-    private static final long NEVER = Long.MIN_VALUE / 2;
+    private static final long SECOND = 1_000_000_000L, NEVER = Long.MIN_VALUE / 2;
     /** How often the module looks when nothing comes in. */
     private static final long TICK = SECOND / 10;
 
@@ -26,79 +25,67 @@
     private static final double PRIOR_ANSWERS = 25;
     /** A weight steps once per this, over this part of the gap, once the gap leaves the band. */
     private static final long STEP_EVERY = SECOND;
-    private static final double STEP_PART = 0.6;
-    private static final double STEP_BAND = 0.08;
+    private static final double STEP_PART = 0.6, STEP_BAND = 0.08;
     /** Bounds of a weight against its start. */
-    private static final double LEAST_SKILL = 0.25;
-    private static final double MOST_SKILL = 3;
+    private static final double LEAST_SKILL = 0.25, MOST_SKILL = 3;
     /** How far spare capacity leans to larger nodes, the least left to a small one, the pace, the most. */
-    private static final double LEAN = 1.3;
-    private static final double LEAST_LEAN = 0.25;
-    private static final double LEAN_PACE = 0.05;
-    private static final double MOST_SLACK = 0.6;
+    private static final double LEAN = 1.3, LEAST_LEAN = 0.25, LEAN_PACE = 0.05, MOST_SLACK = 0.6;
     /** A line is committed anew when it differs by more than this part. */
     private static final double LINE_BAND = 0.07;
 
     /** Evidence of health: how fast it decays, what a probe counts, what suffices, from what share. */
     private static final long HEALTH_WINDOW = 3 * SECOND;
-    private static final double PROBE_TRIES = 3;
-    private static final double LEAST_EVIDENCE = 7;
-    private static final double SICK_SHARE = 0.35;
-    private static final double SICK_SHARE_BUSY = 0.9;
-    private static final double BUSY = 0.8;
+    private static final double PROBE_TRIES = 3, LEAST_EVIDENCE = 7, SICK_SHARE = 0.35;
+    private static final double SICK_SHARE_BUSY = 0.9, BUSY = 0.8;
     /** A node without a good answer for so many reports, while others have them, is silent, not busy. */
     private static final double FRESH_REPORTS = 2.5;
     /** A sick node keeps a trickle, then a trial's part, so that its return is seen. */
-    private static final double TRICKLE = 0.02;
-    private static final double TRIAL = 0.1;
+    private static final double TRICKLE = 0.02, TRIAL = 0.1;
     private static final long TRIAL_AFTER = 4 * SECOND;
     /** Sick nodes may make up so much of a table's size; beyond, all count as well. */
     private static final double MOST_SICK = 0.5;
     /** A node whose tries go unanswered is probed at the first pace, the others at the second. */
     private static final double SUSPECT_SHARE = 0.12;
-    private static final long PROBE_SUSPECT = SECOND;
-    private static final long PROBE_EVERY = 4 * SECOND;
+    private static final long PROBE_SUSPECT = SECOND, PROBE_EVERY = 4 * SECOND;
     /** Cold nodes are sent at most this multiple of what they can do by now; the load taken while unheard. */
-    private static final double COLD_LOAD = 1.2;
-    private static final double UNHEARD_LOAD = 5;
+    private static final double COLD_LOAD = 1.2, UNHEARD_LOAD = 5;
 
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
-    private static final long PATIENCE = 2 * SECOND;
-    private static final long DELIVERY_GAP = SECOND / 2;
+    private static final long PATIENCE = 2 * SECOND, DELIVERY_GAP = SECOND / 2;
+    /** The part of the channel that message heads may take on ordinary days, and when much has changed. */
+    private static final double HEADS_USUAL = 0.12, HEADS_MOST = 0.4;
     /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
-    private static final double PART_DELIVERY = 0.5;
-    private static final double PART_WHOLE = 0.8;
+    private static final double PART_DELIVERY = 0.5, PART_URGENT = 0.7, PART_DRAIN = 0.9, PART_WHOLE = 0.8;
+    /** Whole tables wait here rather than in the channel, where they would grow old. */
+    private static final long BIND_DEPTH = SECOND / 2;
+    /** Nodes that left so long ago stand in nobody's tables. */
+    private static final long RECENT = 30 * SECOND;
+    /** A level that falls below this part of the old one does not wait. */
+    private static final double LEVEL_FALLS = 0.75;
 
     /** Levels: how often they are set, the load they keep to, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
-    private static final double LEVEL_LOAD = 0.85;
-    private static final double LEVEL_BAND = 0.1;
-    private static final double SHED_FROM = 0.88;
-    private static final double SHED_UNTIL = 0.78;
+    private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, SHED_FROM = 0.88, SHED_UNTIL = 0.78;
     /** Tries after any failure: the part of all size that may be sick, the loads where they end and begin. */
-    private static final double RETRY_SICK = 0.25;
-    private static final double RETRY_UNTIL = 0.65;
-    private static final double RETRY_FROM = 0.55;
+    private static final double RETRY_SICK = 0.25, RETRY_UNTIL = 0.65, RETRY_FROM = 0.55;
 
     private final Settings settings;
     private final RandomGenerator random;
     private final TreeMap<NodeId, Node> nodes = new TreeMap<>();
     private final TreeMap<ProxyId, Proxy> proxies = new TreeMap<>();
     private final List<Table> tables = new ArrayList<>();
-    private final Sum lag = new Sum(10 * SECOND);
-    private final Sum lagCount = new Sum(10 * SECOND);
+    private final Sum lag = new Sum(10 * SECOND), lagCount = new Sum(10 * SECOND);
+    private final Sum covers = new Sum(5 * SECOND), coverCount = new Sum(5 * SECOND);
     private final TreeMap<ProxyId, Double> turn = new TreeMap<>();
     private long now;
     private Orders orders;
     private long sequence;
-    private boolean started;
-    private boolean listLost;
-    private boolean awake;
-    private long nextStep;
-    private long nextLevel;
+    private boolean started, listLost, awake;
+    private long spokenAt = NEVER;
+    private boolean crowded;
+    private long warnedAt = NEVER, nextStep, nextLevel;
     private double slack;
-    private boolean shedding;
-    private boolean retrying;
+    private boolean shedding, retrying;
     private double unit = Double.NaN;
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>();
 
@@ -136,10 +123,12 @@
             started = true;
             return;
         }
-        if (!started || listLost) {
-            begin();
+        if (settings.listOnDemand() && (!started || listLost)) {
+            orders.followList();
         }
-        withdrawDrained();
+        awake |= !started;
+        started = true;
+        listLost = false;
         if (awake) {
             awake = false;
             orders.wakeAfter(TICK);
@@ -150,27 +139,17 @@
         }
         commit();
         settle();
-        bindOwed();
         deliver();
-        readmit();
+        bindOwed();
+        warnUnbound();
         closeTurn();
     }
 
-    private void begin() {
-        if (settings.listOnDemand()) {
-            orders.followList();
-        }
-        awake |= !started;
-        started = true;
-        listLost = false;
-    }
-
     // ---- observe ----
 
     /** A sum that decays with time, brought up to date when it is read. */
     private static final class Sum {
-        private final double constant;
-        private double value;
+        private double constant, value;
         private long at;
 
         Sum(double constant) {
@@ -190,17 +169,22 @@
         }
     }
 
-    /** Counts over the time that they cover: late or missing sums leave the rate as it was. */
+    /**
+     * Counts over the time that they cover, over so many reports: late or missing sums leave the rate as it
+     * was, and where the intake spaces reports out the window grows with their spacing.
+     */
     private final class Rate {
-        private final Sum count;
-        private final Sum covered;
+        private final double reports;
+        private final Sum count = new Sum(1);
+        private final Sum covered = new Sum(1);
 
         Rate(double reports) {
-            count = new Sum(reports * settings.reportPeriod());
-            covered = new Sum(reports * settings.reportPeriod());
+            this.reports = reports;
         }
 
         void add(double part, double seconds) {
+            count.constant = reports * spacing();
+            covered.constant = count.constant;
             count.add(now, part);
             covered.add(now, seconds);
         }
@@ -214,6 +198,11 @@
         }
     }
 
+    /** The time between a node's reports as met: the intake may hand them out far slower than gathered. */
+    private double spacing() {
+        return Math.max(settings.reportPeriod(), covers.read(now) / Math.max(1, coverCount.read(now)));
+    }
+
     private final class Node {
         final NodeId id;
         KindId kind;
@@ -224,17 +213,15 @@
         double skill = 1;
         final TreeMap<ZoneId, Rate> answered = new TreeMap<>();
         final TreeMap<ZoneId, Rate> tried = new TreeMap<>();
-        Rate load;
-        Rate latency;
+        Rate load, latency;
         long answeredAt = NEVER;
-        Sum tries;
-        Sum unanswered;
+        Sum tries, unanswered;
         boolean sick;
         long sickSince;
         boolean probing;
         long probedAt;
         boolean withdrawn;
-        long withdrawnAt;
+        long leftAt = NEVER, removedAt = NEVER;
 
         Node(NodeId id) {
             this.id = id;
@@ -245,6 +232,20 @@
             return state == Observer.NodeState.READY;
         }
 
+        /**
+         * A cold node stays out of the tables until what old ones sent it lies behind: guards against a
+         * conductor that restarts as a lost site returns, and a list that flaps; it keeps a node idle for a
+         * few seconds where nobody had sent there.
+         */
+        boolean usable() {
+            return ready() && (!cold() || now - removedAt > settings.drainGrace() + settings.coldWindow());
+        }
+
+        void become(Observer.NodeState next) {
+            leftAt = ready() && next != Observer.NodeState.READY ? now : leftAt;
+            state = next;
+        }
+
         /** A process that has just started tells nothing of the machine; its skill is kept from before. */
         final void restart(long at) {
             up = at;
@@ -280,13 +281,12 @@
         final ProxyId id;
         final ZoneId zone;
         final double rate;
+        final long joinedAt = now;
         final TreeMap<MethodId, Rate> offered = new TreeMap<>();
         final ArrayDeque<Message> unanswered = new ArrayDeque<>();
         final ArrayDeque<Long> written = new ArrayDeque<>();
-        boolean bound;
-        boolean owed = true;
-        long wholeSequence;
-        long wholeAt;
+        boolean bound, warned, owed = true;
+        long wholeSequence, wholeAt;
         int wholes;
         long answered;
 
@@ -296,10 +296,6 @@
             this.rate = rate;
         }
 
-        double waiting() {
-            return unanswered.stream().mapToDouble(Message::lines).sum();
-        }
-
         int messages() {
             while (!written.isEmpty() && now - written.peekFirst() > settings.messageSpan()) {
                 written.removeFirst();
@@ -325,10 +321,8 @@
         final TreeMap<MethodId, Level> levels = new TreeMap<>();
         final TreeMap<MethodId, Level> pendingLevels = new TreeMap<>();
         final TreeSet<ProxyId> inFlight = new TreeSet<>();
-        long version;
-        long flightSequence;
-        long sentAt = NEVER;
-        boolean panic;
+        long version, flightSequence, sentAt = NEVER;
+        boolean panic, falling;
 
         Table(TableId id, Settings.Method like, ZoneId home) {
             this.id = id;
@@ -365,11 +359,16 @@
         @Override
         public void node(NodeId id, KindId kind, ZoneId zone, double weight, NodeState state, long up) {
             listed.add(id);
-            Node node = nodes.computeIfAbsent(id, Node::new);
+            Node node = nodes.get(id);
+            if (node == null) {
+                node = new Node(id);
+                node.skill = Double.isNaN(unit) ? 1 : unitOfKind.getOrDefault(kind, unit) / unit;
+                nodes.put(id, node);
+            }
             node.kind = kind;
             node.zone = zone;
             node.listed = weight > 0 ? weight : 1;
-            node.state = state;
+            node.become(state);
             if (up > node.up) {
                 node.restart(up);
             }
@@ -379,7 +378,7 @@
         public void listEnds() {
             if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
                 nodes.values().stream().filter(node -> !listed.contains(node.id))
-                        .forEach(node -> node.state = NodeState.GONE);
+                        .forEach(node -> node.become(NodeState.GONE));
             }
             listLost |= kind == ListKind.UNAVAILABLE;
         }
@@ -399,10 +398,7 @@
         /** The stream is ordered, so an answer also settles all that was sent before it. */
         @Override
         public void installed(ProxyId id, int mark, long took) {
-            Proxy proxy = proxies.get(id);
-            if (proxy == null) {
-                return;
-            }
+            Proxy proxy = proxies.getOrDefault(id, new Proxy(id, null, 0));
             long sequence = proxy.unanswered.stream().mapToLong(Message::sequence)
                     .filter(s -> (s & 0xFFFF) == mark).findFirst().orElse(0);
             if (sequence == 0) {
@@ -424,10 +420,9 @@
         @Override
         public void sums(NodeId id, ZoneId zone, int tries, int unanswered, double latency, long covers,
                 double utilization) {
-            Node node = nodes.get(id);
-            if (node == null) {
-                return;
-            }
+            Node node = nodes.getOrDefault(id, new Node(id));
+            Brain.this.covers.add(now, covers);
+            coverCount.add(now, 1);
             node.tries.add(now, tries);
             node.unanswered.add(now, unanswered);
             node.answeredAt = tries > unanswered ? now : node.answeredAt;
@@ -458,10 +453,7 @@
         /** A probe that was pushed back tells nothing of the node's health. */
         @Override
         public void probed(NodeId id, Verdict verdict) {
-            Node node = nodes.get(id);
-            if (node == null) {
-                return;
-            }
+            Node node = nodes.getOrDefault(id, new Node(id));
             node.probing = false;
             if (verdict != Verdict.PUSHED_BACK) {
                 node.tries.add(now, PROBE_TRIES);
@@ -515,10 +507,8 @@
 
     /** Utilization where it is told; else latency against the fleet's, as the design has it. */
     private double load(Node node, double meanLatency) {
-        if (node.load.known()) {
-            return Math.max(0.02, node.load.perSecond());
-        }
-        return node.latency.known() ? node.latency.perSecond() / meanLatency / 2 : Double.NaN;
+        return node.load.known() ? Math.max(0.02, node.load.perSecond())
+                : node.latency.known() ? node.latency.perSecond() / meanLatency / 2 : Double.NaN;
     }
 
     /**
@@ -536,31 +526,26 @@
                 : (answers + PRIOR_ANSWERS) / (answers * load / rate + PRIOR_ANSWERS / prior);
         double gap = size / (unit * node.size());
         if (Math.abs(gap - 1) > STEP_BAND) {
-            node.skill = Math.max(LEAST_SKILL,
-                    Math.min(MOST_SKILL, node.skill * Math.pow(gap, STEP_PART)));
+            node.skill = Math.max(LEAST_SKILL, Math.min(MOST_SKILL, node.skill * Math.pow(gap, STEP_PART)));
         }
     }
 
     private boolean fresh(Node node, long at) {
-        return at - node.answeredAt < FRESH_REPORTS * settings.reportPeriod();
+        return at - node.answeredAt < FRESH_REPORTS * spacing();
     }
 
     private List<Node> ready() {
         return nodes.values().stream().filter(Node::ready).toList();
     }
 
-    /** RPCs a second that the ready nodes open to a table can do by now; NaN before anything was heard. */
-    private double capacity(Table table) {
-        return unit * open(table).stream().mapToDouble(n -> n.size() * present(n, table)).sum();
-    }
-
-    /** The most that any table's nodes can do: of nested sets, the whole. */
+    /** RPCs a second that the nodes of the widest table can do by now; NaN before anything was heard. */
     private double able() {
-        return tables.stream().mapToDouble(this::capacity).max().orElse(0);
+        return unit * tables.stream().mapToDouble(table -> open(table).stream()
+                .mapToDouble(n -> n.size() * present(n, table)).sum()).max().orElse(0);
     }
 
     private List<Node> open(Table table) {
-        return ready().stream().filter(table::open).toList();
+        return nodes.values().stream().filter(node -> node.usable() && table.open(node)).toList();
     }
 
     private static double size(List<Node> nodes, boolean sickOnly) {
@@ -574,10 +559,11 @@
     // ---- judge health ----
 
     /**
-     * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
-     * hang or are lost before the list tells. A busy node that still answers is overloaded, not sick: taking
-     * it out would push the others over; weights and levels answer that. The judgement does harm if a few
-     * RPCs cost far more than usual at one node only; the trickle and the trial bring such a node back.
+     * A node is sick when its unanswered share stands out from the others': guards against nodes that
+     * abort, hang or are lost before the list tells. A busy node that still answers is overloaded, not
+     * sick: taking it out would push the others over; weights and levels answer that. The judgement does
+     * harm if a few RPCs cost far more than usual at one node only; the trickle and the trial bring such a
+     * node back.
      */
     private void judge() {
         double tries = ready().stream().mapToDouble(n -> n.tries.read(now)).sum();
@@ -616,17 +602,11 @@
 
     /** The part of its weight that health leaves a node; a panic bound keeps a table from emptying. */
     private double fitness(Node node, Table table) {
-        if (table.panic || !node.sick) {
-            return 1;
-        }
-        return now - node.sickSince < TRIAL_AFTER ? TRICKLE : TRIAL;
+        return table.panic || !node.sick ? 1 : now - node.sickSince < TRIAL_AFTER ? TRICKLE : TRIAL;
     }
 
     private void probe() {
-        if (!settings.probesAllowed()) {
-            return;
-        }
-        for (Node node : ready()) {
+        for (Node node : settings.probesAllowed() ? ready() : List.<Node>of()) {
             boolean suspect = node.sick || node.unansweredShare() > SUSPECT_SHARE;
             if (!node.probing && now - node.probedAt >= (suspect ? PROBE_SUSPECT : PROBE_EVERY)) {
                 node.probing = true;
@@ -642,7 +622,11 @@
 
     // ---- commit ----
 
-    /** Commits what truly differs, each change together with the table's one pending delivery. */
+    /**
+     * Commits what truly differs, each change together with the table's one pending delivery. What counts
+     * as a difference grows with the seconds of channel that a whole new table for all its users would
+     * take.
+     */
     private void commit() {
         TreeMap<NodeId, Double> spoken = new TreeMap<>();
         double load = loadRatio();
@@ -650,15 +634,13 @@
         byRoom.sort(Comparator.comparingInt(t -> open(t).size()));
         for (Table table : byRoom) {
             Map<NodeId, Double> wanted = wanted(table, load, spoken);
-            if (wanted.isEmpty()) {
-                continue;
-            }
+            double band = LINE_BAND * (1 + wanted.size() * users(table).size() / settings.linesPerSecond());
             table.committed.keySet().forEach(id -> wanted.putIfAbsent(id, 0.0));
             boolean changed = false;
             for (Map.Entry<NodeId, Double> line : wanted.entrySet()) {
                 double weight = line.getValue();
                 double old = table.committed.getOrDefault(line.getKey(), 0.0);
-                if (Math.abs(weight - old) > LINE_BAND * old || weight == 0) {
+                if (Math.abs(weight - old) > band * old || weight == 0) {
                     stage(table, line.getKey(), weight);
                     changed = true;
                 }
@@ -713,8 +695,8 @@
     }
 
     /**
-     * With room to spare the larger nodes take more than their part: each node keeps slack by the root of its
-     * size, which is what costs the least waiting; near capacity nothing of that is left.
+     * With room to spare the larger nodes take more than their part: each node keeps slack by the root of
+     * its size, which is what costs the least waiting; near capacity nothing of that is left.
      */
     private double lean(double size) {
         return Math.max(LEAST_LEAN * size, size - LEAN * slack * Math.sqrt(size)) / (1 - LEAN * slack);
@@ -722,55 +704,12 @@
 
     /** Tries a second against what all ready nodes can do by now; 0 before anything was heard. */
     private double loadRatio() {
-        if (Double.isNaN(unit)) {
-            return 0;
-        }
         double tried = nodes.values().stream().mapToDouble(n -> perSecond(n.tried)).sum();
-        return tried / Math.max(able(), 1e-9);
+        return Double.isNaN(unit) ? 0 : tried / Math.max(able(), 1e-9);
     }
 
     // ---- deliver ----
 
-    /** A drain waits for no delivery: the node is shut out at once, its lines go with the next one. */
-    private void withdrawDrained() {
-        for (Node node : nodes.values()) {
-            boolean laid = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
-            if (laid && !node.ready() && !node.withdrawn) {
-                node.withdrawn = true;
-                node.withdrawnAt = now;
-                orders.withdraw(node.id, true);
-                reachHolders(node.id);
-            }
-        }
-    }
-
-    /**
-     * Lets a node in again once no table has a line of it left to send. A cold one stays out until what old
-     * tables sent it lies behind: guards against a conductor that restarts as a lost site returns, and a
-     * list that flaps; it keeps a node idle for a few seconds where nobody had sent there.
-     */
-    private void readmit() {
-        long clear = settings.drainGrace() + settings.coldWindow();
-        for (Node node : nodes.values()) {
-            if (node.ready() && node.withdrawn && (!node.cold() || now - node.withdrawnAt > clear)
-                    && tables.stream().noneMatch(t -> t.pending.containsKey(node.id))
-                    && room(PART_WHOLE) > proxies.size() * (settings.linesPerMessage() + 2)
-                    && proxies.values().stream().allMatch(p -> mayWrite(p, PART_WHOLE))) {
-                node.withdrawn = false;
-                orders.withdraw(node.id, false);
-                reachHolders(node.id);
-            }
-        }
-    }
-
-    private void reachHolders(NodeId id) {
-        for (Proxy proxy : proxies.values()) {
-            if (proxy.bound && tables.stream().anyMatch(t -> t.usedBy(proxy) && t.laid.containsKey(id))) {
-                reach(proxy, 1);
-            }
-        }
-    }
-
     /** How long a proxy has to answer: stretched by the lag met and by what the channel may still hold. */
     private long patience() {
         double met = lag.read(now) / Math.max(1, lagCount.read(now));
@@ -780,7 +719,7 @@
 
     /** Unanswered lines bound the queue from above, however slow the channel is. */
     private double waiting() {
-        return proxies.values().stream().mapToDouble(Proxy::waiting).sum()
+        return proxies.values().stream().flatMap(p -> p.unanswered.stream()).mapToDouble(Message::lines).sum()
                 + turn.values().stream().mapToDouble(lines -> lines).sum();
     }
 
@@ -808,10 +747,8 @@
             }
         }
         for (Proxy proxy : proxies.values()) {
-            boolean open = proxy.bound && proxy.wholeSequence > proxy.answered;
-            if (open && now - proxy.wholeAt > patience << Math.min(proxy.wholes, 4)) {
-                proxy.owed = true;
-            }
+            proxy.owed |= proxy.bound && proxy.wholeSequence > proxy.answered
+                    && now - proxy.wholeAt > patience << Math.min(proxy.wholes, 4);
         }
     }
 
@@ -819,6 +756,8 @@
     private void bindOwed() {
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
         owed.sort(Comparator.comparingDouble((Proxy p) -> -p.rate).thenComparing(p -> p.id));
+        double depth = settings.linesPerSecond() * (BIND_DEPTH + settings.longestWay()) / SECOND;
+        double part = Math.min(PART_WHOLE, depth / settings.queueLimit());
         if (!owed.isEmpty()) {
             tables.stream().filter(t -> t.laid.isEmpty()).forEach(t -> send(t, Integer.MAX_VALUE));
         }
@@ -827,7 +766,7 @@
             for (Table table : tables) {
                 lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
             }
-            if (!mayWrite(proxy, PART_WHOLE) || room(PART_WHOLE) < lines + settings.linesPerMessage() + 1
+            if (crowded || !mayWrite(proxy, PART_WHOLE) || room(part) < lines + settings.linesPerMessage() + 1
                     || tables.stream().allMatch(t -> t.laid.isEmpty())) {
                 continue;
             }
@@ -846,56 +785,93 @@
     }
 
     /**
-     * Sends each table's pending delivery if none is in flight and the budget has room; what does not fit
-     * stays pending. Guards against a change too large for the channel, which would otherwise never leave.
+     * Sends each table's pending delivery if none is in flight; what does not fit the budget stays pending.
+     * All tables' deliveries share a turn, and turns are spaced so that heads leave the channel to lines:
+     * guards against many small changes, such as nodes of a site that leave and return one by one, which
+     * would fill the queue and use up the messages. It makes single changes wait for company.
      */
     private void deliver() {
-        for (Table table : tables) {
-            if (table.pending.isEmpty() && table.pendingLevels.isEmpty()) {
+        crowded = false;
+        List<Table> due = tables.stream()
+                .filter(t -> !t.pending.isEmpty() || !t.pendingLevels.isEmpty()).toList();
+        List<Proxy> bound = proxies.values().stream().filter(p -> p.bound).toList();
+        boolean urgent = due.stream().anyMatch(this::urgent);
+        boolean drain = due.stream().anyMatch(t -> drained(t) > 0);
+        double part = drain ? PART_DRAIN : urgent ? PART_URGENT : PART_DELIVERY;
+        if (now - spokenAt < gap(part, due, bound) || bound.stream().anyMatch(p -> !mayWrite(p, part))) {
+            return;
+        }
+        for (Table table : due) {
+            if (!table.inFlight.isEmpty() && !urgent(table)) {
                 continue;
             }
-            List<Proxy> users = users(table);
-            boolean urgent = urgent(table);
-            double part = urgent ? PART_WHOLE : PART_DELIVERY;
-            double fit = room(part) / Math.max(1, users.size()) - settings.linesPerMessage() - 1;
-            if (!urgent && (!table.inFlight.isEmpty() || now - table.sentAt < DELIVERY_GAP)
-                    || fit < table.pendingLevels.size() + 1
-                    || users.stream().anyMatch(p -> !mayWrite(p, part))) {
-                continue;
+            double head = (turn.isEmpty() ? settings.linesPerMessage() + 1 : 0) + table.pendingLevels.size();
+            double users = Math.max(1, proxies.size());
+            int fit = (int) Math.floor(Math.max(room(PART_DELIVERY) / users - head,
+                    Math.min(drained(table), room(PART_DRAIN) / users - head)));
+            if (bound.isEmpty() || fit >= 0 && fit + table.pendingLevels.size() > 0) {
+                send(table, bound.isEmpty() ? Integer.MAX_VALUE : fit);
+                spokenAt = now;
+            } else {
+                crowded = true;
             }
-            send(table, users.isEmpty() ? Integer.MAX_VALUE : (int) fit - table.pendingLevels.size());
         }
     }
 
+    /** Heads may take half of the channel if much has changed or cannot wait, else an eighth. */
+    private long gap(double part, List<Table> due, List<Proxy> bound) {
+        double head = settings.linesPerMessage() + 1;
+        boolean urgent = part > PART_DELIVERY;
+        boolean much = urgent || due.stream().mapToInt(t -> t.pending.size()).sum() > 1.5 * head;
+        double heads = head * bound.size() / settings.linesPerSecond() / (much ? HEADS_MOST : HEADS_USUAL);
+        int most = bound.stream().mapToInt(Proxy::messages).max().orElse(0);
+        long messages = 2 * most > settings.messageLimit() && settings.messageLimit() > 0
+                ? (long) (settings.messageSpan() / (part * settings.messageLimit())) : 0;
+        return Math.max(Math.max(urgent ? 0 : DELIVERY_GAP, (long) (heads * SECOND)), messages);
+    }
+
     /**
-     * Two changes do not wait for a delivery in flight: a cold node that tables still hold at a higher weight
-     * (a restart under an old line), and a table whose every line is shut out.
+     * Changes that do not wait for a delivery in flight: a node that left, a cold node that tables still
+     * hold at a higher weight (a restart under an old line), a table without a ready node, a level that
+     * falls.
      */
     private boolean urgent(Table table) {
-        boolean bare = table.laid.keySet().stream().allMatch(id -> nodes.get(id).withdrawn);
-        return bare || table.pending.entrySet().stream().anyMatch(line -> nodes.get(line.getKey()).cold()
+        return drained(table) > 0 || table.falling
+                || table.laid.keySet().stream().noneMatch(id -> nodes.get(id).ready())
+                || table.pending.entrySet().stream().anyMatch(line -> nodes.get(line.getKey()).cold()
                 && table.laid.getOrDefault(line.getKey(), 0.0) > 1.5 * line.getValue());
     }
 
+    private long drained(Table table) {
+        return table.pending.keySet().stream().filter(id -> !nodes.get(id).ready()).count();
+    }
+
     private List<Proxy> users(Table table) {
         return proxies.values().stream().filter(p -> p.bound && table.usedBy(p)).toList();
     }
 
-    /** Sends levels and so many lines, those that take a node's share down first. */
+    /** Sends levels and so many lines: nodes that left, then those whose share falls most. */
     private void send(Table table, int most) {
         List<NodeId> lines = new ArrayList<>(table.pending.keySet());
-        lines.sort(Comparator.comparingDouble(id -> table.pending.get(id)
-                - table.laid.getOrDefault(id, 0.0)));
+        lines.sort(Comparator.comparing((NodeId id) -> nodes.get(id).ready())
+                .thenComparing(id -> table.pending.get(id) - table.laid.getOrDefault(id, 0.0)));
         lines = lines.subList(0, Math.min(most, lines.size()));
         int sent = lines.size() + table.pendingLevels.size();
         for (NodeId id : lines) {
             double weight = table.pending.remove(id);
+            if (weight > 0) {
+                shut(nodes.get(id), false);
+            }
             orders.line(table.id, id, weight);
             put(table.laid, id, weight);
+            if (weight == 0) {
+                shut(nodes.get(id), true);
+            }
         }
         table.pendingLevels.forEach((method, level) ->
                 orders.level(table.id, method, level.admitted(), level.retry()));
         table.pendingLevels.clear();
+        table.falling = false;
         table.flightSequence = sequence + 1;
         table.sentAt = now;
         for (Proxy proxy : users(table)) {
@@ -904,6 +880,42 @@
         }
     }
 
+    /**
+     * Proxies that wait long for their tables still follow those of others, with nodes that left before
+     * they joined: guards against a fleet that joins at once, as after a conductor is lost.
+     */
+    private void warnUnbound() {
+        List<Proxy> unbound = proxies.values().stream().filter(p -> !p.bound).toList();
+        List<Node> left = nodes.values().stream().filter(n -> !n.ready() && now - n.leftAt < RECENT
+                && tables.stream().noneMatch(t -> t.laid.containsKey(n.id))).toList();
+        long wait = settings.drainGrace() / 3;
+        if (left.isEmpty() || now - warnedAt < wait
+                || unbound.stream().noneMatch(p -> !p.warned && now - p.joinedAt > wait)
+                || room(PART_WHOLE) < unbound.size() * (settings.linesPerMessage() + 1 + left.size())) {
+            return;
+        }
+        warnedAt = now;
+        left.forEach(node -> {
+            node.withdrawn = true;
+            orders.withdraw(node.id, true);
+        });
+        unbound.forEach(proxy -> {
+            proxy.warned = true;
+            reach(proxy, left.size());
+        });
+    }
+
+    /** Proxies not yet bound may hold a node that leaves in tables of others: for them it is withdrawn. */
+    private void shut(Node node, boolean out) {
+        List<Proxy> others = proxies.values().stream().filter(p -> !p.bound).toList();
+        node.removedAt = out ? now : node.removedAt;
+        if (out ? !node.withdrawn && !node.ready() && !others.isEmpty() : node.withdrawn) {
+            node.withdrawn = out;
+            orders.withdraw(node.id, out);
+            others.forEach(proxy -> reach(proxy, 1));
+        }
+    }
+
     private void reach(Proxy proxy, double lines) {
         turn.merge(proxy.id, settings.linesPerMessage() + 1 + lines, (old, more) -> old + lines);
     }
@@ -928,9 +940,16 @@
         return table.methods.stream().mapToDouble(this::demand).sum();
     }
 
+    /** Proxies that no sum has told of yet, such as ones just joined, count by their usual rate. */
     private double demand(MethodId method) {
-        return proxies.values().stream().filter(p -> p.offered.containsKey(method))
-                .mapToDouble(p -> p.offered.get(method).perSecond()).sum();
+        double heard = 0, usual = 0, all = 0;
+        for (Proxy proxy : proxies.values()) {
+            Rate rate = proxy.offered.get(method);
+            heard += rate == null ? 0 : rate.perSecond();
+            usual += rate == null ? 0 : proxy.rate;
+            all += proxy.rate;
+        }
+        return usual > 0 ? heard * all / usual : heard;
     }
 
     /** Sheds by offered load, the lowest criticality first, and says when proxies try again. */
@@ -940,12 +959,12 @@
         }
         nextLevel = now + LEVEL_EVERY;
         judgeLoad();
-        TreeMap<MethodId, Double> admitted = shedding ? shares() : new TreeMap<>();
         for (Table table : tables) {
             for (MethodId method : table.methods) {
-                double share = admitted.getOrDefault(method, 1.0);
+                Settings.Method settled = settings.methods().get(method.value());
+                double share = shedding ? share(settled) : 1;
                 double level = share >= 0.98 ? Double.POSITIVE_INFINITY : level(method, share);
-                commitLevel(table, method, new Level(level, retry(settings.methods().get(method.value()))));
+                commitLevel(table, method, new Level(level, retry(settled)));
             }
         }
     }
@@ -970,22 +989,16 @@
         }
     }
 
-    /** The share of each method that fits, from the highest criticality down; equals share alike. */
-    private TreeMap<MethodId, Double> shares() {
-        TreeMap<Double, List<MethodId>> byCriticality = new TreeMap<>(Comparator.reverseOrder());
+    /** The share of a method that fits once all of higher criticality is let in; equals share alike. */
+    private double share(Settings.Method method) {
+        double left = LEVEL_LOAD * able();
+        double wanted = 0;
         for (int m = 0; m < settings.methods().size(); m++) {
-            byCriticality.computeIfAbsent(settings.methods().get(m).criticality(), c -> new ArrayList<>())
-                    .add(new MethodId(m));
+            double criticality = settings.methods().get(m).criticality();
+            left -= criticality > method.criticality() ? demand(new MethodId(m)) : 0;
+            wanted += criticality == method.criticality() ? demand(new MethodId(m)) : 0;
         }
-        double left = LEVEL_LOAD * able();
-        TreeMap<MethodId, Double> shares = new TreeMap<>();
-        for (List<MethodId> equals : byCriticality.values()) {
-            double wanted = equals.stream().mapToDouble(this::demand).sum();
-            double share = wanted > 0 ? Math.max(0, Math.min(1, left / wanted)) : 1;
-            left -= share * wanted;
-            equals.forEach(method -> shares.put(method, share));
-        }
-        return shares;
+        return Math.max(0, Math.min(1, left / Math.max(wanted, 1e-9)));
     }
 
     /** A level as the proxies count it: a share, or the rate at each that cuts the busiest first. */
@@ -1010,6 +1023,7 @@
         boolean moved = Double.isInfinite(old.admitted()) != Double.isInfinite(level.admitted())
                 || Math.abs(level.admitted() - old.admitted()) > LEVEL_BAND * old.admitted();
         if (moved || old.retry() != level.retry()) {
+            table.falling |= level.admitted() < LEVEL_FALLS * old.admitted();
             table.levels.put(method, level);
             table.pendingLevels.put(method, level);
             table.version++;
