--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -183,7 +183,7 @@
         }
 
         void add(double part, double seconds) {
-            count.constant = reports * spacing();
+            count.constant = Math.max(reports * settings.reportPeriod(), spacing());
             covered.constant = count.constant;
             count.add(now, part);
             covered.add(now, seconds);
