Sizes bounded by latency against like machines, over at least 80 answers

Change: a node whose reported load is not high is at most 1.3 times as large as its latency against its kind allows; averages cover at least 80 answers of a node; the band of a line grows half as fast with the channel time of a whole table. Guards also against any slowing that utilization hides. Harm: honest slow nodes at low load may be held a little too small.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -17,8 +17,8 @@
     /** How often the module looks when nothing comes in. */
     private static final long TICK = SECOND / 10;
 
-    /** Reports over which load and answers are averaged. */
-    private static final double WINDOW_REPORTS = 20;
+    /** Load and answers are averaged over so many reports, or answers of a node if that takes longer. */
+    private static final double WINDOW_REPORTS = 20, WINDOW_ANSWERS = 80;
     /** Demand moves sooner than machines do. */
     private static final double DEMAND_REPORTS = 2.5;
     /** What like machines showed counts as so many answers of a node's own when its size is estimated. */
@@ -28,6 +28,8 @@
     private static final double STEP_PART = 0.6, STEP_BAND = 0.08;
     /** Bounds of a weight against its start. */
     private static final double LEAST_SKILL = 0.25, MOST_SKILL = 3;
+    /** A node is at most so many times as large as its latency against that of like machines tells. */
+    private static final double LATE_SIZE = 1.3;
     /** How far spare capacity leans to larger nodes, the least left to a small one, the pace, the most. */
     private static final double LEAN = 1.3, LEAST_LEAN = 0.25, LEAN_PACE = 0.05, MOST_SLACK = 0.6;
     /** A line is committed anew when it differs by more than this part. */
@@ -84,10 +86,10 @@
     private long spokenAt = NEVER;
     private boolean crowded;
     private long warnedAt = NEVER, nextStep, nextLevel;
-    private double slack;
+    private double slack, window;
     private boolean shedding, retrying;
     private double unit = Double.NaN;
-    private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>();
+    private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
 
     public Brain(Settings settings, RandomGenerator random) {
         this.settings = settings;
@@ -183,7 +185,7 @@
         }
 
         void add(double part, double seconds) {
-            count.constant = Math.max(reports * settings.reportPeriod(), spacing());
+            count.constant = Math.max(reports * settings.reportPeriod(), reports < WINDOW_REPORTS ? spacing() : window);
             covered.constant = count.constant;
             count.add(now, part);
             covered.add(now, seconds);
@@ -475,8 +477,9 @@
 
     /** Units of size: RPCs a second that a listed weight of 1 answers at full load, over all and by kind. */
     private void estimate() {
-        double meanLatency = ready().stream().filter(n -> n.latency.known())
-                .mapToDouble(n -> n.latency.perSecond()).average().orElse(Double.NaN);
+        latencyOfKind.clear();
+        ready().forEach(n -> latencyOfKind.computeIfAbsent(n.kind, this::meanLatency));
+        double meanLatency = meanLatency(null);
         TreeMap<KindId, double[]> byKind = new TreeMap<>();
         double[] all = new double[2];
         for (Node node : ready()) {
@@ -493,6 +496,7 @@
             return;
         }
         unit = all[0] / all[1];
+        window = WINDOW_ANSWERS * ready().size() / all[0] * SECOND;
         byKind.forEach((kind, s) -> unitOfKind.put(kind, s[0] / s[1]));
         if (now >= nextStep) {
             nextStep = now + STEP_EVERY;
@@ -505,6 +509,12 @@
         }
     }
 
+    /** The mean latency of a kind's nodes, of all if none is named. */
+    private double meanLatency(KindId kind) {
+        return ready().stream().filter(n -> !n.sick && n.latency.known() && (kind == null || kind.equals(n.kind)))
+                .mapToDouble(n -> n.latency.perSecond()).average().orElse(Double.NaN);
+    }
+
     /** Utilization where it is told; else latency against the fleet's, as the design has it. */
     private double load(Node node, double meanLatency) {
         return node.load.known() ? Math.max(0.02, node.load.perSecond())
@@ -514,6 +524,8 @@
     /**
      * Steps a weight towards what the node answers for its load, over a part of the gap. Without fresh
      * answers the weight stays: guards against late or missing sums being read as a change of the machine.
+     * A node that answers later than its like is not held to be larger than that allows: guards against
+     * reports that show less load than there is, and any slowing that utilization hides.
      */
     private void step(Node node, double load) {
         if (node.sick) {
@@ -524,6 +536,9 @@
         double rate = perSecond(node.answered);
         double size = rate <= 0 || Double.isNaN(load) ? prior
                 : (answers + PRIOR_ANSWERS) / (answers * load / rate + PRIOR_ANSWERS / prior);
+        if (load < BUSY && node.latency.known() && latencyOfKind.get(node.kind) > 0) {
+            size = Math.min(size, prior * LATE_SIZE * latencyOfKind.get(node.kind) / node.latency.perSecond());
+        }
         double gap = size / (unit * node.size());
         if (Math.abs(gap - 1) > STEP_BAND) {
             node.skill = Math.max(LEAST_SKILL, Math.min(MOST_SKILL, node.skill * Math.pow(gap, STEP_PART)));
@@ -634,7 +649,7 @@
         byRoom.sort(Comparator.comparingInt(t -> open(t).size()));
         for (Table table : byRoom) {
             Map<NodeId, Double> wanted = wanted(table, load, spoken);
-            double band = LINE_BAND * (1 + wanted.size() * users(table).size() / settings.linesPerSecond());
+            double band = LINE_BAND * (1 + 0.5 * wanted.size() * users(table).size() / settings.linesPerSecond());
             table.committed.keySet().forEach(id -> wanted.putIfAbsent(id, 0.0));
             boolean changed = false;
             for (Map.Entry<NodeId, Double> line : wanted.entrySet()) {
