Largest changes first, no thin turns, messages spread evenly: returned nodes get lines soon

Change: nodes that left first, then cold ones held too high, then the largest changes; an ordinary turn waits until ten lines fit.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -824,7 +824,8 @@
             double users = Math.max(1, proxies.size());
             int fit = (int) Math.floor(Math.max(room(PART_DELIVERY) / users - head,
                     Math.min(drained(table), room(PART_DRAIN) / users - head)));
-            if (bound.isEmpty() || fit >= 0 && fit + table.pendingLevels.size() > 0) {
+            double least = urgent(table) ? 0 : Math.min(table.pending.size(), settings.linesPerMessage());
+            if (bound.isEmpty() || fit >= least && fit + table.pendingLevels.size() > 0) {
                 send(table, bound.isEmpty() ? Integer.MAX_VALUE : fit);
                 spokenAt = now;
             } else {
@@ -840,7 +841,7 @@
         boolean much = urgent || due.stream().mapToInt(t -> t.pending.size()).sum() > 1.5 * head;
         double heads = head * bound.size() / settings.linesPerSecond() / (much ? HEADS_MOST : HEADS_USUAL);
         int most = bound.stream().mapToInt(Proxy::messages).max().orElse(0);
-        long messages = 2 * most > settings.messageLimit() && settings.messageLimit() > 0
+        long messages = 4 * most > settings.messageLimit() && settings.messageLimit() > 0
                 ? (long) (settings.messageSpan() / (part * settings.messageLimit())) : 0;
         return Math.max(Math.max(urgent ? 0 : DELIVERY_GAP, (long) (heads * SECOND)), messages);
     }
@@ -853,8 +854,11 @@
     private boolean urgent(Table table) {
         return drained(table) > 0 || table.falling
                 || table.laid.keySet().stream().noneMatch(id -> nodes.get(id).ready())
-                || table.pending.entrySet().stream().anyMatch(line -> nodes.get(line.getKey()).cold()
-                && table.laid.getOrDefault(line.getKey(), 0.0) > 1.5 * line.getValue());
+                || table.pending.keySet().stream().anyMatch(id -> tooHigh(table, id));
+    }
+
+    private boolean tooHigh(Table table, NodeId id) {
+        return nodes.get(id).cold() && table.laid.getOrDefault(id, 0.0) > 1.5 * table.pending.get(id);
     }
 
     private long drained(Table table) {
@@ -865,11 +869,12 @@
         return proxies.values().stream().filter(p -> p.bound && table.usedBy(p)).toList();
     }
 
-    /** Sends levels and so many lines: nodes that left, then those whose share falls most. */
+    /** Sends levels and so many lines: nodes that left, cold ones held too high, then the largest changes. */
     private void send(Table table, int most) {
         List<NodeId> lines = new ArrayList<>(table.pending.keySet());
         lines.sort(Comparator.comparing((NodeId id) -> nodes.get(id).ready())
-                .thenComparing(id -> table.pending.get(id) - table.laid.getOrDefault(id, 0.0)));
+                .thenComparing(id -> !tooHigh(table, id))
+                .thenComparing(id -> -Math.abs(table.pending.get(id) - table.laid.getOrDefault(id, 0.0))));
         lines = lines.subList(0, Math.min(most, lines.size()));
         int sent = lines.size() + table.pendingLevels.size();
         for (NodeId id : lines) {
