--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -2,15 +2,17 @@
 
 import java.util.*;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import rosespread.api.*;
 import rosespread.api.Observer;
 
 /**
  * All decisions of one conductor. The caller makes one Brain a conductor and calls {@link #round} once for
- * each round with all that came in; the orders go straight into the writer. Its interface is rosespread.api.
- * The order below: observe, estimate, judge health, commit, deliver, levels. The mechanism is commit and
- * deliver: lines that truly change are committed with one pending delivery per table, one delivery is in
- * flight per table, the proxies' answers settle it, laggards are bound again.
+ * each round with all that came in; the orders go straight into the writer. Its interface is
+ * rosespread.api. The order below: observe, estimate, judge health, commit, deliver, levels. The mechanism
+ * is commit and deliver: lines that truly change are committed with one pending delivery per table, one
+ * delivery is in flight per table, the proxies' answers settle it, laggards are bound again.
  */
 public final class Brain {
     private static final long SECOND = 1_000_000_000L, NEVER = Long.MIN_VALUE / 2;
@@ -57,19 +59,18 @@
     /** The part of the channel that message heads may take on ordinary days, and when much has changed. */
     private static final double HEADS_USUAL = 0.12, HEADS_MOST = 0.4;
     /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
-    private static final double PART_DELIVERY = 0.5, PART_URGENT = 0.7, PART_DRAIN = 0.9, PART_WHOLE = 0.8;
+    private static final double PART_CROWDED = 0.35, PART_DELIVERY = 0.5, PART_URGENT = 0.7;
+    private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
     /** Whole tables wait here rather than in the channel, where they would grow old. */
     private static final long BIND_DEPTH = SECOND / 2;
-    /** Nodes that left so long ago stand in nobody's tables. */
-    private static final long RECENT = 30 * SECOND;
+    /** The smallest group of proxies that a table is laid for. */
+    private static final int LEAST_GROUP = 8;
     /** A level that falls below this part of the old one does not wait. */
     private static final double LEVEL_FALLS = 0.75;
 
     /** Levels: how often they are set, the load they keep to, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, SHED_FROM = 0.88, SHED_UNTIL = 0.78;
-    /** Tries after any failure: the part of all size that may be sick, the loads where they end and begin. */
-    private static final double RETRY_SICK = 0.25, RETRY_UNTIL = 0.65, RETRY_FROM = 0.55;
 
     private final Settings settings;
     private final RandomGenerator random;
@@ -83,34 +84,61 @@
     private Orders orders;
     private long sequence;
     private boolean started, listLost, awake;
-    private long spokenAt = NEVER;
+    private final List<Long> spokenAt = new ArrayList<>();
     private boolean crowded;
-    private long warnedAt = NEVER, nextStep, nextLevel;
+    private long nextStep, nextLevel;
     private double slack, window;
-    private boolean shedding, retrying;
+    private boolean shedding;
     private double unit = Double.NaN;
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
 
     public Brain(Settings settings, RandomGenerator random) {
         this.settings = settings;
         this.random = random;
-        layOutTables();
+        layOutTables(0);
     }
 
-    /** One table for each set of methods open to the same nodes; one a zone where the proxy's zone binds. */
-    private void layOutTables() {
+    /**
+     * One table for each set of methods open to the same nodes (one a zone where the proxy's zone binds),
+     * laid once for each group of proxies: guards against a fleet so large that half the queue has no room
+     * for one delivery to all; each group's deliveries leave for themselves. Small fleets are one group.
+     */
+    private void layOutTables(int group) {
         for (int m = 0; m < settings.methods().size(); m++) {
             Settings.Method method = settings.methods().get(m);
             for (int zone = 0; zone < (method.ownZone() ? settings.zones() : 1); zone++) {
                 ZoneId home = method.ownZone() ? new ZoneId(zone) : null;
-                Table table = tables.stream().filter(t -> t.serves(method, home)).findFirst().orElse(null);
+                Table table = of(group).stream().filter(t -> t.serves(method, home)).findFirst().orElse(null);
                 if (table == null) {
-                    table = new Table(new TableId(tables.size() + 1), method, home);
+                    table = new Table(new TableId(tables.size() + 1), group, method, home);
                     tables.add(table);
                 }
                 table.methods.add(new MethodId(m));
             }
         }
+        for (int i = 0; group > 0 && i < of(group).size(); i++) {
+            of(group).get(i).levels.putAll(tables.get(i).levels);
+            of(group).get(i).pendingLevels.putAll(tables.get(i).levels);
+        }
+        spokenAt.add(NEVER);
+    }
+
+    private List<Table> of(int group) {
+        return tables.stream().filter(t -> t.group == group).toList();
+    }
+
+    /** The emptiest group; a new one once all are so large that a delivery of every line would not fit. */
+    private int groupToJoin() {
+        double lines = settings.linesPerMessage() + 1 + of(0).stream().mapToInt(t -> open(t).size()).sum();
+        int[] members = new int[spokenAt.size()];
+        proxies.values().forEach(p -> members[p.group]++);
+        double most = Math.max(LEAST_GROUP, PART_DELIVERY * settings.queueLimit() / lines);
+        if (Arrays.stream(members).allMatch(m -> m + 1 > most)) {
+            layOutTables(members.length);
+            return members.length;
+        }
+        return IntStream.range(0, members.length).boxed()
+                .min(Comparator.comparing(g -> members[g])).orElseThrow();
     }
 
     /** Decides one round: {@code feed} brings what came in, {@code out} takes the orders. */
@@ -141,9 +169,10 @@
         }
         commit();
         settle();
-        deliver();
+        crowded = false;
+        IntStream.range(0, spokenAt.size()).boxed().sorted(Comparator.comparing(spokenAt::get)).toList()
+                .forEach(this::deliver);
         bindOwed();
-        warnUnbound();
         closeTurn();
     }
 
@@ -185,7 +214,8 @@
         }
 
         void add(double part, double seconds) {
-            count.constant = Math.max(reports * settings.reportPeriod(), reports < WINDOW_REPORTS ? spacing() : window);
+            count.constant = Math.max(reports * settings.reportPeriod(),
+                    reports < WINDOW_REPORTS ? spacing() : window);
             covered.constant = count.constant;
             count.add(now, part);
             covered.add(now, seconds);
@@ -220,10 +250,9 @@
         Sum tries, unanswered;
         boolean sick;
         long sickSince;
-        boolean probing;
         long probedAt;
         boolean withdrawn;
-        long leftAt = NEVER, removedAt = NEVER;
+        long removedAt = NEVER;
 
         Node(NodeId id) {
             this.id = id;
@@ -243,11 +272,6 @@
             return ready() && (!cold() || now - removedAt > settings.drainGrace() + settings.coldWindow());
         }
 
-        void become(Observer.NodeState next) {
-            leftAt = ready() && next != Observer.NodeState.READY ? now : leftAt;
-            state = next;
-        }
-
         /** A process that has just started tells nothing of the machine; its skill is kept from before. */
         final void restart(long at) {
             up = at;
@@ -283,16 +307,16 @@
         final ProxyId id;
         final ZoneId zone;
         final double rate;
-        final long joinedAt = now;
+        final int group;
         final TreeMap<MethodId, Rate> offered = new TreeMap<>();
         final ArrayDeque<Message> unanswered = new ArrayDeque<>();
         final ArrayDeque<Long> written = new ArrayDeque<>();
-        boolean bound, warned, owed = true;
+        boolean bound, owed = true;
         long wholeSequence, wholeAt;
-        int wholes;
         long answered;
 
-        Proxy(ProxyId id, ZoneId zone, double rate) {
+        Proxy(ProxyId id, ZoneId zone, double rate, int group) {
+            this.group = group;
             this.id = id;
             this.zone = zone;
             this.rate = rate;
@@ -306,27 +330,25 @@
         }
     }
 
-    private record Message(long sequence, double lines) { }
-
-    private record Level(double admitted, Orders.Retry retry) { }
-
-    private static final Level UNSET = new Level(Double.POSITIVE_INFINITY, Orders.Retry.NEVER_RAN);
+    private record Message(long sequence, double lines, long at) { }
 
     private static final class Table {
         final TableId id;
+        final int group;
         final Settings.Method like;
         final ZoneId home;
         final List<MethodId> methods = new ArrayList<>();
         final TreeMap<NodeId, Double> committed = new TreeMap<>();
         final TreeMap<NodeId, Double> laid = new TreeMap<>();
         final TreeMap<NodeId, Double> pending = new TreeMap<>();
-        final TreeMap<MethodId, Level> levels = new TreeMap<>();
-        final TreeMap<MethodId, Level> pendingLevels = new TreeMap<>();
+        final TreeMap<MethodId, Double> levels = new TreeMap<>();
+        final TreeMap<MethodId, Double> pendingLevels = new TreeMap<>();
         final TreeSet<ProxyId> inFlight = new TreeSet<>();
         long version, flightSequence, sentAt = NEVER;
         boolean panic, falling;
 
-        Table(TableId id, Settings.Method like, ZoneId home) {
+        Table(TableId id, int group, Settings.Method like, ZoneId home) {
+            this.group = group;
             this.id = id;
             this.like = like;
             this.home = home;
@@ -344,7 +366,7 @@
         }
 
         boolean usedBy(Proxy proxy) {
-            return home == null || home.equals(proxy.zone);
+            return group == proxy.group && (home == null || home.equals(proxy.zone));
         }
     }
 
@@ -370,7 +392,7 @@
             node.kind = kind;
             node.zone = zone;
             node.listed = weight > 0 ? weight : 1;
-            node.become(state);
+            node.state = state;
             if (up > node.up) {
                 node.restart(up);
             }
@@ -380,7 +402,7 @@
         public void listEnds() {
             if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
                 nodes.values().stream().filter(node -> !listed.contains(node.id))
-                        .forEach(node -> node.become(NodeState.GONE));
+                        .forEach(node -> node.state = NodeState.GONE);
             }
             listLost |= kind == ListKind.UNAVAILABLE;
         }
@@ -388,7 +410,7 @@
         @Override
         public void proxyJoined(ProxyId id, ZoneId zone, double rate) {
             proxyLeft(id);
-            proxies.put(id, new Proxy(id, zone, rate));
+            proxies.put(id, new Proxy(id, zone, rate, groupToJoin()));
         }
 
         @Override
@@ -400,7 +422,7 @@
         /** The stream is ordered, so an answer also settles all that was sent before it. */
         @Override
         public void installed(ProxyId id, int mark, long took) {
-            Proxy proxy = proxies.getOrDefault(id, new Proxy(id, null, 0));
+            Proxy proxy = proxies.getOrDefault(id, new Proxy(id, null, 0, 0));
             long sequence = proxy.unanswered.stream().mapToLong(Message::sequence)
                     .filter(s -> (s & 0xFFFF) == mark).findFirst().orElse(0);
             if (sequence == 0) {
@@ -410,9 +432,6 @@
                 proxy.unanswered.removeFirst();
             }
             proxy.answered = sequence;
-            if (proxy.wholeSequence <= sequence) {
-                proxy.wholes = 0;
-            }
             lag.add(now, took);
             lagCount.add(now, 1);
             tables.stream().filter(table -> table.flightSequence <= sequence)
@@ -456,7 +475,6 @@
         @Override
         public void probed(NodeId id, Verdict verdict) {
             Node node = nodes.getOrDefault(id, new Node(id));
-            node.probing = false;
             if (verdict != Verdict.PUSHED_BACK) {
                 node.tries.add(now, PROBE_TRIES);
                 node.unanswered.add(now, verdict == Verdict.OK ? 0 : PROBE_TRIES);
@@ -477,27 +495,17 @@
 
     /** Units of size: RPCs a second that a listed weight of 1 answers at full load, over all and by kind. */
     private void estimate() {
-        latencyOfKind.clear();
-        ready().forEach(n -> latencyOfKind.computeIfAbsent(n.kind, this::meanLatency));
+        ready().forEach(n -> latencyOfKind.put(n.kind, meanLatency(n.kind)));
         double meanLatency = meanLatency(null);
-        TreeMap<KindId, double[]> byKind = new TreeMap<>();
-        double[] all = new double[2];
-        for (Node node : ready()) {
-            double load = load(node, meanLatency);
-            if (!node.sick && !Double.isNaN(load)) {
-                double[] sums = byKind.computeIfAbsent(node.kind, k -> new double[2]);
-                for (double[] s : List.of(all, sums)) {
-                    s[0] += perSecond(node.answered);
-                    s[1] += load * node.listed;
-                }
-            }
-        }
-        if (all[1] <= 0 || all[0] <= 0) {
+        if (!(unitOf(null, meanLatency) > 0)) {
             return;
         }
-        unit = all[0] / all[1];
-        window = WINDOW_ANSWERS * ready().size() / all[0] * SECOND;
-        byKind.forEach((kind, s) -> unitOfKind.put(kind, s[0] / s[1]));
+        unit = unitOf(null, meanLatency);
+        for (KindId kind : latencyOfKind.keySet()) {
+            unitOfKind.merge(kind, unitOf(kind, meanLatency), (old, next) -> next > 0 ? next : old);
+        }
+        double rate = ready().stream().mapToDouble(n -> perSecond(n.answered)).sum();
+        window = WINDOW_ANSWERS * ready().size() / rate * SECOND;
         if (now >= nextStep) {
             nextStep = now + STEP_EVERY;
             if (ready().stream().anyMatch(n -> fresh(n, now))) {
@@ -509,10 +517,20 @@
         }
     }
 
-    /** The mean latency of a kind's nodes, of all if none is named. */
+    /** The nodes not sick of a kind, of all if none is named. */
+    private Stream<Node> well(KindId kind) {
+        return ready().stream().filter(n -> !n.sick && (kind == null || kind.equals(n.kind)));
+    }
+
     private double meanLatency(KindId kind) {
-        return ready().stream().filter(n -> !n.sick && n.latency.known() && (kind == null || kind.equals(n.kind)))
-                .mapToDouble(n -> n.latency.perSecond()).average().orElse(Double.NaN);
+        return well(kind).filter(n -> n.latency.known()).mapToDouble(n -> n.latency.perSecond())
+                .average().orElse(Double.NaN);
+    }
+
+    private double unitOf(KindId kind, double meanLatency) {
+        List<Node> told = well(kind).filter(n -> !Double.isNaN(load(n, meanLatency))).toList();
+        return told.stream().mapToDouble(n -> perSecond(n.answered)).sum()
+                / told.stream().mapToDouble(n -> load(n, meanLatency) * n.listed).sum();
     }
 
     /** Utilization where it is told; else latency against the fleet's, as the design has it. */
@@ -537,7 +555,8 @@
         double size = rate <= 0 || Double.isNaN(load) ? prior
                 : (answers + PRIOR_ANSWERS) / (answers * load / rate + PRIOR_ANSWERS / prior);
         if (load < BUSY && node.latency.known() && latencyOfKind.get(node.kind) > 0) {
-            size = Math.min(size, prior * LATE_SIZE * latencyOfKind.get(node.kind) / node.latency.perSecond());
+            size = Math.min(size,
+                    prior * LATE_SIZE * latencyOfKind.get(node.kind) / node.latency.perSecond());
         }
         double gap = size / (unit * node.size());
         if (Math.abs(gap - 1) > STEP_BAND) {
@@ -574,11 +593,10 @@
     // ---- judge health ----
 
     /**
-     * A node is sick when its unanswered share stands out from the others': guards against nodes that
-     * abort, hang or are lost before the list tells. A busy node that still answers is overloaded, not
-     * sick: taking it out would push the others over; weights and levels answer that. The judgement does
-     * harm if a few RPCs cost far more than usual at one node only; the trickle and the trial bring such a
-     * node back.
+     * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
+     * hang or are lost before the list tells. A busy node that still answers is overloaded: taking it out would
+     * push the others over. It does harm if a few RPCs cost far more than usual at one node only; the trickle
+     * and the trial bring such a node back.
      */
     private void judge() {
         double tries = ready().stream().mapToDouble(n -> n.tries.read(now)).sum();
@@ -606,12 +624,12 @@
             double sick = size(open(table), true);
             double all = size(open(table), false);
             boolean panic = sick > MOST_SICK * all;
-            if (panic != table.panic) {
-                table.panic = panic;
+            if (panic != table.panic && table.group == 0) {
                 String mode = panic ? " counts all nodes as well: " : " trusts health: ";
                 orders.log("table " + table.id.value() + mode + figure(sick) + " of " + figure(all)
                         + " sick");
             }
+            table.panic = panic;
         }
     }
 
@@ -623,8 +641,7 @@
     private void probe() {
         for (Node node : settings.probesAllowed() ? ready() : List.<Node>of()) {
             boolean suspect = node.sick || node.unansweredShare() > SUSPECT_SHARE;
-            if (!node.probing && now - node.probedAt >= (suspect ? PROBE_SUSPECT : PROBE_EVERY)) {
-                node.probing = true;
+            if (now - node.probedAt >= (suspect ? PROBE_SUSPECT : PROBE_EVERY)) {
                 node.probedAt = now - random.nextLong(PROBE_SUSPECT / 2);
                 orders.probe(node.id);
             }
@@ -638,18 +655,18 @@
     // ---- commit ----
 
     /**
-     * Commits what truly differs, each change together with the table's one pending delivery. What counts
-     * as a difference grows with the seconds of channel that a whole new table for all its users would
-     * take.
+     * Commits what truly differs, each change with the table's one pending delivery. What counts as different
+     * grows with the seconds of channel that a whole new table for all proxies would take.
      */
     private void commit() {
-        TreeMap<NodeId, Double> spoken = new TreeMap<>();
         double load = loadRatio();
         List<Table> byRoom = new ArrayList<>(tables);
         byRoom.sort(Comparator.comparingInt(t -> open(t).size()));
+        TreeMap<Integer, Map<NodeId, Double>> spoken = new TreeMap<>();
         for (Table table : byRoom) {
-            Map<NodeId, Double> wanted = wanted(table, load, spoken);
-            double band = LINE_BAND * (1 + 0.5 * wanted.size() * users(table).size() / settings.linesPerSecond());
+            Map<NodeId, Double> wanted =
+                    wanted(table, load, spoken.computeIfAbsent(table.group, g -> new TreeMap<>()));
+            double band = LINE_BAND * (1 + 0.5 * wanted.size() * proxies.size() / settings.linesPerSecond());
             table.committed.keySet().forEach(id -> wanted.putIfAbsent(id, 0.0));
             boolean changed = false;
             for (Map.Entry<NodeId, Double> line : wanted.entrySet()) {
@@ -703,7 +720,7 @@
         }
         double sum = wanted.values().stream().mapToDouble(w -> w).sum();
         double share = demand(table) / unit;
-        if (tables.size() > 1 && !Double.isNaN(share)) {
+        if (of(0).size() > 1 && !Double.isNaN(share)) {
             wanted.forEach((id, weight) -> spoken.merge(id, share * weight / sum, Double::sum));
         }
         return wanted;
@@ -747,7 +764,10 @@
                 || proxy.messages() + 1 <= part * settings.messageLimit();
     }
 
-    /** A delivery unanswered for too long is closed; its laggards are owed the whole table instead. */
+    /**
+     * A delivery unanswered for too long is closed; its laggards are owed the whole table instead. A proxy
+     * not yet bound may never answer: a withdrawal sends it nothing if it does not hold the node.
+     */
     private void settle() {
         long patience = patience();
         for (Table table : tables) {
@@ -762,8 +782,9 @@
             }
         }
         for (Proxy proxy : proxies.values()) {
+            proxy.unanswered.removeIf(m -> !proxy.bound && now - m.at() > patience);
             proxy.owed |= proxy.bound && proxy.wholeSequence > proxy.answered
-                    && now - proxy.wholeAt > patience << Math.min(proxy.wholes, 4);
+                    && now - proxy.wholeAt > patience;
         }
     }
 
@@ -771,8 +792,9 @@
     private void bindOwed() {
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
         owed.sort(Comparator.comparingDouble((Proxy p) -> -p.rate).thenComparing(p -> p.id));
-        double depth = settings.linesPerSecond() * (BIND_DEPTH + settings.longestWay()) / SECOND;
-        double part = Math.min(PART_WHOLE, depth / settings.queueLimit());
+        double depth = settings.linesPerSecond() * (BIND_DEPTH + settings.longestWay() / 2) / SECOND;
+        crowded |= tables.stream().anyMatch(t -> drained(t) > 0);
+        double part = Math.min(crowded ? PART_CROWDED : PART_WHOLE, depth / settings.queueLimit());
         if (!owed.isEmpty()) {
             tables.stream().filter(t -> t.laid.isEmpty()).forEach(t -> send(t, Integer.MAX_VALUE));
         }
@@ -781,7 +803,7 @@
             for (Table table : tables) {
                 lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
             }
-            if (crowded || !mayWrite(proxy, PART_WHOLE) || room(part) < lines + settings.linesPerMessage() + 1
+            if (!mayWrite(proxy, PART_WHOLE) || room(part) < lines + settings.linesPerMessage() + 1
                     || tables.stream().allMatch(t -> t.laid.isEmpty())) {
                 continue;
             }
@@ -793,7 +815,6 @@
             reach(proxy, lines);
             proxy.bound = true;
             proxy.owed = false;
-            proxy.wholes++;
             proxy.wholeSequence = sequence + 1;
             proxy.wholeAt = now;
         }
@@ -805,29 +826,34 @@
      * guards against many small changes, such as nodes of a site that leave and return one by one, which
      * would fill the queue and use up the messages. It makes single changes wait for company.
      */
-    private void deliver() {
-        crowded = false;
-        List<Table> due = tables.stream()
+    private void deliver(int group) {
+        List<Table> due = of(group).stream()
                 .filter(t -> !t.pending.isEmpty() || !t.pendingLevels.isEmpty()).toList();
-        List<Proxy> bound = proxies.values().stream().filter(p -> p.bound).toList();
+        List<Proxy> bound = proxies.values().stream().filter(p -> p.bound && p.group == group).toList();
+        long others = proxies.values().stream().filter(p -> !p.bound && p.group == group).count();
         boolean urgent = due.stream().anyMatch(this::urgent);
         boolean drain = due.stream().anyMatch(t -> drained(t) > 0);
         double part = drain ? PART_DRAIN : urgent ? PART_URGENT : PART_DELIVERY;
-        if (now - spokenAt < gap(part, due, bound) || bound.stream().anyMatch(p -> !mayWrite(p, part))) {
+        if (now - spokenAt.get(group) < gap(part, due, bound)
+                || bound.stream().anyMatch(p -> !mayWrite(p, part))) {
             return;
         }
         for (Table table : due) {
             if (!table.inFlight.isEmpty() && !urgent(table)) {
                 continue;
             }
-            double head = (turn.isEmpty() ? settings.linesPerMessage() + 1 : 0) + table.pendingLevels.size();
-            double users = Math.max(1, proxies.size());
-            int fit = (int) Math.floor(Math.max(room(PART_DELIVERY) / users - head,
+            boolean first = bound.stream().noneMatch(p -> turn.containsKey(p.id));
+            double head = (first ? settings.linesPerMessage() + 1 : 0) + table.pendingLevels.size();
+            double users = Math.max(1, bound.size() + others);
+            double kept = tables.stream().filter(t -> t.group != group && drained(t) > 0)
+                    .mapToDouble(t -> (drained(t) + settings.linesPerMessage() + 1) * users(t).size()).sum();
+            int fit = (int) Math.floor(Math.max((room(PART_DELIVERY) - kept) / users - head,
                     Math.min(drained(table), room(PART_DRAIN) / users - head)));
-            double least = urgent(table) ? 0 : Math.min(table.pending.size(), settings.linesPerMessage());
+            double least = urgent(table) || waiting() == 0 ? 0
+                    : Math.min(table.pending.size(), settings.linesPerMessage());
             if (bound.isEmpty() || fit >= least && fit + table.pendingLevels.size() > 0) {
                 send(table, bound.isEmpty() ? Integer.MAX_VALUE : fit);
-                spokenAt = now;
+                spokenAt.set(group, now);
             } else {
                 crowded = true;
             }
@@ -839,7 +865,7 @@
         double head = settings.linesPerMessage() + 1;
         boolean urgent = part > PART_DELIVERY;
         boolean much = urgent || due.stream().mapToInt(t -> t.pending.size()).sum() > 1.5 * head;
-        double heads = head * bound.size() / settings.linesPerSecond() / (much ? HEADS_MOST : HEADS_USUAL);
+        double heads = head * proxies.size() / settings.linesPerSecond() / (much ? HEADS_MOST : HEADS_USUAL);
         int most = bound.stream().mapToInt(Proxy::messages).max().orElse(0);
         long messages = 4 * most > settings.messageLimit() && settings.messageLimit() > 0
                 ? (long) (settings.messageSpan() / (part * settings.messageLimit())) : 0;
@@ -847,9 +873,8 @@
     }
 
     /**
-     * Changes that do not wait for a delivery in flight: a node that left, a cold node that tables still
-     * hold at a higher weight (a restart under an old line), a table without a ready node, a level that
-     * falls.
+     * Changes that do not wait for a delivery in flight: a node that left, a cold node still held at a higher
+     * weight (a restart under an old line), a table without a ready node, a level that falls.
      */
     private boolean urgent(Table table) {
         return drained(table) > 0 || table.falling
@@ -889,7 +914,7 @@
             }
         }
         table.pendingLevels.forEach((method, level) ->
-                orders.level(table.id, method, level.admitted(), level.retry()));
+                orders.level(table.id, method, level));
         table.pendingLevels.clear();
         table.falling = false;
         table.flightSequence = sequence + 1;
@@ -900,36 +925,12 @@
         }
     }
 
-    /**
-     * Proxies that wait long for their tables still follow those of others, with nodes that left before
-     * they joined: guards against a fleet that joins at once, as after a conductor is lost.
-     */
-    private void warnUnbound() {
-        List<Proxy> unbound = proxies.values().stream().filter(p -> !p.bound).toList();
-        List<Node> left = nodes.values().stream().filter(n -> !n.ready() && now - n.leftAt < RECENT
-                && tables.stream().noneMatch(t -> t.laid.containsKey(n.id))).toList();
-        long wait = settings.drainGrace() / 3;
-        if (left.isEmpty() || now - warnedAt < wait
-                || unbound.stream().noneMatch(p -> !p.warned && now - p.joinedAt > wait)
-                || room(PART_WHOLE) < unbound.size() * (settings.linesPerMessage() + 1 + left.size())) {
-            return;
-        }
-        warnedAt = now;
-        left.forEach(node -> {
-            node.withdrawn = true;
-            orders.withdraw(node.id, true);
-        });
-        unbound.forEach(proxy -> {
-            proxy.warned = true;
-            reach(proxy, left.size());
-        });
-    }
-
     /** Proxies not yet bound may hold a node that leaves in tables of others: for them it is withdrawn. */
     private void shut(Node node, boolean out) {
         List<Proxy> others = proxies.values().stream().filter(p -> !p.bound).toList();
         node.removedAt = out ? now : node.removedAt;
-        if (out ? !node.withdrawn && !node.ready() && !others.isEmpty() : node.withdrawn) {
+        boolean held = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
+        if (out ? !node.withdrawn && !node.ready() && !others.isEmpty() && !held : node.withdrawn) {
             node.withdrawn = out;
             orders.withdraw(node.id, out);
             others.forEach(proxy -> reach(proxy, 1));
@@ -948,13 +949,13 @@
         sequence++;
         orders.mark((int) (sequence & 0xFFFF));
         turn.forEach((id, lines) -> {
-            proxies.get(id).unanswered.addLast(new Message(sequence, lines));
+            proxies.get(id).unanswered.addLast(new Message(sequence, lines, now));
             proxies.get(id).written.addLast(now);
         });
         turn.clear();
     }
 
-    // ---- levels and retries ----
+    // ---- levels ----
 
     private double demand(Table table) {
         return table.methods.stream().mapToDouble(this::demand).sum();
@@ -972,7 +973,7 @@
         return usual > 0 ? heard * all / usual : heard;
     }
 
-    /** Sheds by offered load, the lowest criticality first, and says when proxies try again. */
+    /** Sheds by offered load, the lowest criticality first. */
     private void commitLevels() {
         if (now < nextLevel) {
             return;
@@ -981,16 +982,14 @@
         judgeLoad();
         for (Table table : tables) {
             for (MethodId method : table.methods) {
-                Settings.Method settled = settings.methods().get(method.value());
-                double share = shedding ? share(settled) : 1;
-                double level = share >= 0.98 ? Double.POSITIVE_INFINITY : level(method, share);
-                commitLevel(table, method, new Level(level, retry(settled)));
+                double share = shedding ? share(settings.methods().get(method.value())) : 1;
+                commitLevel(table, method, share >= 0.98 ? Double.POSITIVE_INFINITY : level(method, share));
             }
         }
     }
 
     private void judgeLoad() {
-        double offered = tables.stream().mapToDouble(this::demand).sum();
+        double offered = of(0).stream().mapToDouble(this::demand).sum();
         double able = able();
         double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
         boolean shed = settings.throttle() != Settings.Throttle.NONE
@@ -1000,13 +999,6 @@
             orders.log((shed ? "shedding: offered " : "shedding ends: offered ") + figure(offered)
                     + "/s, able " + figure(able) + "/s");
         }
-        double sick = size(ready(), true);
-        boolean retry = sick > 0 && sick < RETRY_SICK * size(ready(), false)
-                && ratio < (retrying ? RETRY_UNTIL : RETRY_FROM);
-        if (retry != retrying) {
-            retrying = retry;
-            orders.log((retry ? "retries on: load " : "retries off: load ") + figure(ratio));
-        }
     }
 
     /** The share of a method that fits once all of higher criticality is let in; equals share alike. */
@@ -1038,23 +1030,13 @@
         return Double.POSITIVE_INFINITY;
     }
 
-    private void commitLevel(Table table, MethodId method, Level level) {
-        Level old = table.levels.getOrDefault(method, UNSET);
-        boolean moved = Double.isInfinite(old.admitted()) != Double.isInfinite(level.admitted())
-                || Math.abs(level.admitted() - old.admitted()) > LEVEL_BAND * old.admitted();
-        if (moved || old.retry() != level.retry()) {
-            table.falling |= level.admitted() < LEVEL_FALLS * old.admitted();
+    private void commitLevel(Table table, MethodId method, double level) {
+        double old = table.levels.getOrDefault(method, Double.POSITIVE_INFINITY);
+        if (Double.isInfinite(old) != Double.isInfinite(level) || Math.abs(level - old) > LEVEL_BAND * old) {
+            table.falling |= level < LEVEL_FALLS * old;
             table.levels.put(method, level);
             table.pendingLevels.put(method, level);
             table.version++;
         }
     }
-
-    /** A try that may have run is repeated only where no effect can come twice and there is room for it. */
-    private Orders.Retry retry(Settings.Method method) {
-        boolean harmless = method.effect() == Settings.Effect.IDEMPOTENT
-                || method.effect() == Settings.Effect.TOKENED && method.scope() == Settings.Scope.ALL
-                && method.window() >= method.deadline();
-        return harmless && retrying ? Orders.Retry.ANY_ONCE : Orders.Retry.NEVER_RAN;
-    }
 }
--- a/src/main/java/rosespread/adapter/Names.java
+++ b/src/main/java/rosespread/adapter/Names.java
@@ -118,18 +118,6 @@
     private Settings.Method method(Fields method, boolean ownZone) throws WireException {
         return new Settings.Method(
                 method.number("importance"),
-                switch (method.text("effect")) {
-                    case "safe" -> Settings.Effect.IDEMPOTENT;
-                    case "keyed" -> Settings.Effect.TOKENED;
-                    default -> Settings.Effect.NON_IDEMPOTENT;
-                },
-                switch (method.text("keyScope", "all")) {
-                    case "zone" -> Settings.Scope.ZONE;
-                    case "cell" -> Settings.Scope.CELL;
-                    default -> Settings.Scope.ALL;
-                },
-                method.nanos("window", 0),
-                method.nanos("giveUp"),
                 places(method, "onlyKinds", name -> kind(name).value(), KindId::new),
                 places(method, "onlyZones", name -> zone(name).value(), ZoneId::new),
                 ownZone);
--- a/src/main/java/rosespread/adapter/Steps.java
+++ b/src/main/java/rosespread/adapter/Steps.java
@@ -14,6 +14,9 @@
     /** Stands for a level without bound, far above what a proxy can meet. */
     private static final double ALL = 1e6;
 
+    /** The wire's name for a further try only after proof that the first never ran. */
+    private static final int AFTER_PROOF = 1;
+
     private final int conductor;
     private final JsonGenerator reply;
 
@@ -69,10 +72,10 @@
     }
 
     @Override
-    public void level(TableId table, MethodId method, double admitted, Retry retry) {
+    public void level(TableId table, MethodId method, double admitted) {
         step("Admit", () -> {
             reply.writeNumberField("letIn", Math.min(admitted, ALL));
-            reply.writeNumberField("secondTry", retry == Retry.ANY_ONCE ? 2 : 1);
+            reply.writeNumberField("secondTry", AFTER_PROOF);
             reply.writeNumberField("tbl", table.value());
             reply.writeNumberField("classBits", 1L << method.value());
         });
--- a/src/main/java/rosespread/api/Orders.java
+++ b/src/main/java/rosespread/api/Orders.java
@@ -2,9 +2,6 @@
 
 /** Takes a round's decisions as they are made; those of one round leave as one message for each proxy. */
 public interface Orders {
-    /** The way a proxy tries again: after proof that the first try never ran, or once after any failure. */
-    enum Retry { NEVER_RAN, ANY_ONCE }
-
     /** Sets a table's line; weight 0 removes it. */
     void line(TableId table, NodeId node, double weight);
 
@@ -14,8 +11,8 @@
     /** Shuts a node out of everything that the joined proxies hold, or lets it in again. */
     void withdraw(NodeId node, boolean out);
 
-    /** Lets in so much of a method at each proxy of the table (infinite: all); says how it tries again. */
-    void level(TableId table, MethodId method, double admitted, Retry retry);
+    /** Lets in so much of a method at each proxy of the table (infinite: all). */
+    void level(TableId table, MethodId method, double admitted);
 
     /** Asks each proxy that this round reaches to answer with this number, 0 to 65535. */
     void mark(int mark);
--- a/src/main/java/rosespread/api/Settings.java
+++ b/src/main/java/rosespread/api/Settings.java
@@ -26,20 +26,10 @@
     /** A method; the sets name the only kinds and zones open to it, and are empty where all are. */
     public record Method(
             double criticality,
-            Effect effect,
-            Scope scope,
-            long window,
-            long deadline,
             Set<KindId> onlyKinds,
             Set<ZoneId> onlyZones,
             boolean ownZone) { }
 
-    /** What a second run of the same RPC does. */
-    public enum Effect { IDEMPOTENT, TOKENED, NON_IDEMPOTENT }
-
-    /** The nodes among which a token keeps a repeat from taking effect. */
-    public enum Scope { ALL, ZONE, CELL }
-
     /** What a level is counted in, if proxies heed levels at all. */
     public enum Throttle { SHARE, RATE, NONE }
 }
