--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -594,7 +594,7 @@
 
     /**
      * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
-     * hang or are lost before the list tells. A busy node that still answers is overloaded: taking it out would
+     * hang or are lost before the list tells. A busy node that answers is overloaded: taking it out would
      * push the others over. It does harm if a few RPCs cost far more than usual at one node only; the trickle
      * and the trial bring such a node back.
      */
