Ordinary deliveries keep to a part of the channel, less where orders cost more

Cause: warming nodes change their lines all the time and kept the channel full, so that drains waited for room. Told from a slow channel by the price (all that was written had left) and from health by the log. Change: after each delivery ordinary ones wait until its lines fit a part of the channel, at most 0.85, 0.04 over the stated price else. Guards also against any source of endless small changes. Harm: returned nodes get lines later where orders are dear.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -56,8 +56,8 @@
 
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND, DELIVERY_GAP = SECOND / 2;
-    /** The part of the channel that message heads may take on ordinary days, and when much has changed. */
-    private static final double HEADS_USUAL = 0.12, HEADS_MOST = 0.4;
+    /** Parts of the channel for ordinary deliveries, at what price, for heads usually and at most. */
+    private static final double CHANNEL_USE = 0.85, CHANNEL_PRICE = 0.04, HEADS_USUAL = 0.12, HEADS_MOST = 0.4;
     /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
     private static final double PART_CROWDED = 0.35, PART_DELIVERY = 0.5, PART_URGENT = 0.7;
     private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
@@ -86,7 +86,7 @@
     private boolean started, listLost, awake;
     private final List<Long> spokenAt = new ArrayList<>();
     private boolean crowded;
-    private long nextStep, nextLevel;
+    private long nextStep, nextLevel, freeAt;
     private double slack, window;
     private boolean shedding;
     private double unit = Double.NaN;
@@ -834,7 +834,7 @@
         boolean urgent = due.stream().anyMatch(this::urgent);
         boolean drain = due.stream().anyMatch(t -> drained(t) > 0);
         double part = drain ? PART_DRAIN : urgent ? PART_URGENT : PART_DELIVERY;
-        if (now - spokenAt.get(group) < gap(part, due, bound)
+        if (now - spokenAt.get(group) < gap(part, due, bound) || !urgent && now < freeAt
                 || bound.stream().anyMatch(p -> !mayWrite(p, part))) {
             return;
         }
@@ -896,13 +896,13 @@
 
     /** Sends levels and so many lines: nodes that left, cold ones held too high, then the largest changes. */
     private void send(Table table, int most) {
-        List<NodeId> lines = new ArrayList<>(table.pending.keySet());
-        lines.sort(Comparator.comparing((NodeId id) -> nodes.get(id).ready())
+        List<NodeId> changes = new ArrayList<>(table.pending.keySet());
+        changes.sort(Comparator.comparing((NodeId id) -> nodes.get(id).ready())
                 .thenComparing(id -> !tooHigh(table, id))
                 .thenComparing(id -> -Math.abs(table.pending.get(id) - table.laid.getOrDefault(id, 0.0))));
-        lines = lines.subList(0, Math.min(most, lines.size()));
-        int sent = lines.size() + table.pendingLevels.size();
-        for (NodeId id : lines) {
+        changes = changes.subList(0, Math.min(most, changes.size()));
+        int sent = changes.size() + table.pendingLevels.size();
+        for (NodeId id : changes) {
             double weight = table.pending.remove(id);
             if (weight > 0) {
                 shut(nodes.get(id), false);
@@ -923,6 +923,9 @@
             reach(proxy, sent);
             table.inFlight.add(proxy.id);
         }
+        double lines = table.inFlight.size() * (sent + settings.linesPerMessage() + 1);
+        double use = Math.min(CHANNEL_USE, CHANNEL_PRICE / settings.orderPrice());
+        freeAt = Math.max(now, freeAt) + (long) (lines / settings.linesPerSecond() / use * SECOND);
     }
 
     /** Proxies not yet bound may hold a node that leaves in tables of others: for them it is withdrawn. */
--- a/src/main/java/rosespread/adapter/Names.java
+++ b/src/main/java/rosespread/adapter/Names.java
@@ -105,6 +105,7 @@
                 domain.number("channelRate"),
                 domain.number("overhead"),
                 domain.number("queueCap"),
+                domain.number("costPerLine", 0),
                 domain.integer("pushesAllowed", 0),
                 domain.nanos("countedOver", 0),
                 domain.nanos("pushDelayMax", 0),
--- a/src/main/java/rosespread/api/Settings.java
+++ b/src/main/java/rosespread/api/Settings.java
@@ -3,7 +3,10 @@
 import java.util.List;
 import java.util.Set;
 
-/** What a conductor is told at its start; times in nanoseconds. Decoded once, never copied. */
+/**
+ * What a conductor is told at its start; times in nanoseconds. Decoded once, never copied. The order price is
+ * what the channel's usual pace costs, as a part of all service.
+ */
 public record Settings(
         List<Method> methods,
         int zones,
@@ -14,6 +17,7 @@
         double linesPerSecond,
         double linesPerMessage,
         double queueLimit,
+        double orderPrice,
         int messageLimit,
         long messageSpan,
         long longestWay,
--- a/src/test/java/rosespread/Rig.java
+++ b/src/test/java/rosespread/Rig.java
@@ -38,7 +38,7 @@
 
     /** A deployment of one zone whose channel holds so many lines and which pushes so many messages. */
     static Settings settings(double queue, int messages, Settings.Method... methods) {
-        return new Settings(List.of(methods), 1, false, false, false, Settings.Throttle.RATE, 1000, 10, queue,
+        return new Settings(List.of(methods), 1, false, false, false, Settings.Throttle.RATE, 1000, 10, queue, 0.04,
                 messages, 10 * SECOND, SECOND / 2, SECOND, 2 * SECOND, 16 * SECOND, 0.16, 3 * SECOND / 2);
     }
 
