Nodes leave by lines alone, proxies long unbound are bound first

Cause: the least busy were bound last, and binding slowed while drains waited. Told from late drains by the tap: the line had left all tables in time, the proxy was on none of them. Change: proxies unbound for half a grace come first, the longest waiting ahead, with more room. Guards also against any crowd of joins. Harm: after half a grace the busiest are not first any more.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -57,7 +57,8 @@
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND, DELIVERY_GAP = SECOND / 2;
     /** Parts of the channel for ordinary deliveries, at what price, for heads usually and at most. */
-    private static final double CHANNEL_USE = 0.85, CHANNEL_PRICE = 0.04, HEADS_USUAL = 0.12, HEADS_MOST = 0.4;
+    private static final double CHANNEL_USE = 0.85, CHANNEL_PRICE = 0.04;
+    private static final double HEADS_USUAL = 0.12, HEADS_MOST = 0.4;
     /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
     private static final double PART_CROWDED = 0.35, PART_DELIVERY = 0.5, PART_URGENT = 0.7;
     private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
@@ -251,7 +252,6 @@
         boolean sick;
         long sickSince;
         long probedAt;
-        boolean withdrawn;
         long removedAt = NEVER;
 
         Node(NodeId id) {
@@ -308,6 +308,7 @@
         final ZoneId zone;
         final double rate;
         final int group;
+        final long joinedAt = now;
         final TreeMap<MethodId, Rate> offered = new TreeMap<>();
         final ArrayDeque<Message> unanswered = new ArrayDeque<>();
         final ArrayDeque<Long> written = new ArrayDeque<>();
@@ -322,6 +323,10 @@
             this.rate = rate;
         }
 
+        boolean late() {
+            return !bound && now - joinedAt > settings.drainGrace() / 2;
+        }
+
         int messages() {
             while (!written.isEmpty() && now - written.peekFirst() > settings.messageSpan()) {
                 written.removeFirst();
@@ -330,7 +335,7 @@
         }
     }
 
-    private record Message(long sequence, double lines, long at) { }
+    private record Message(long sequence, double lines) { }
 
     private static final class Table {
         final TableId id;
@@ -764,10 +769,7 @@
                 || proxy.messages() + 1 <= part * settings.messageLimit();
     }
 
-    /**
-     * A delivery unanswered for too long is closed; its laggards are owed the whole table instead. A proxy
-     * not yet bound may never answer: a withdrawal sends it nothing if it does not hold the node.
-     */
+    /** A delivery unanswered for too long is closed; its laggards are owed the whole table instead. */
     private void settle() {
         long patience = patience();
         for (Table table : tables) {
@@ -782,16 +784,19 @@
             }
         }
         for (Proxy proxy : proxies.values()) {
-            proxy.unanswered.removeIf(m -> !proxy.bound && now - m.at() > patience);
             proxy.owed |= proxy.bound && proxy.wholeSequence > proxy.answered
                     && now - proxy.wholeAt > patience;
         }
     }
 
-    /** Joined proxies and laggards get whole tables, the busiest first. */
+    /**
+     * Joined proxies and laggards get whole tables, the busiest first, but those that wait for half a grace
+     * before all: guards against a proxy that follows another's table, with a node that leaves, for too long.
+     */
     private void bindOwed() {
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
-        owed.sort(Comparator.comparingDouble((Proxy p) -> -p.rate).thenComparing(p -> p.id));
+        owed.sort(Comparator.comparing((Proxy p) -> p.late() ? p.joinedAt : now).thenComparing(p -> -p.rate)
+                .thenComparing(p -> p.id));
         double depth = settings.linesPerSecond() * (BIND_DEPTH + settings.longestWay() / 2) / SECOND;
         crowded |= tables.stream().anyMatch(t -> drained(t) > 0);
         double part = Math.min(crowded ? PART_CROWDED : PART_WHOLE, depth / settings.queueLimit());
@@ -803,7 +808,8 @@
             for (Table table : tables) {
                 lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
             }
-            if (!mayWrite(proxy, PART_WHOLE) || room(part) < lines + settings.linesPerMessage() + 1
+            double room = room(proxy.late() ? PART_WHOLE : part) - settings.linesPerMessage() - 1;
+            if (!mayWrite(proxy, PART_WHOLE) || room < lines
                     || tables.stream().allMatch(t -> t.laid.isEmpty())) {
                 continue;
             }
@@ -904,14 +910,9 @@
         int sent = changes.size() + table.pendingLevels.size();
         for (NodeId id : changes) {
             double weight = table.pending.remove(id);
-            if (weight > 0) {
-                shut(nodes.get(id), false);
-            }
             orders.line(table.id, id, weight);
             put(table.laid, id, weight);
-            if (weight == 0) {
-                shut(nodes.get(id), true);
-            }
+            nodes.get(id).removedAt = weight == 0 ? now : nodes.get(id).removedAt;
         }
         table.pendingLevels.forEach((method, level) ->
                 orders.level(table.id, method, level));
@@ -928,18 +929,6 @@
         freeAt = Math.max(now, freeAt) + (long) (lines / settings.linesPerSecond() / use * SECOND);
     }
 
-    /** Proxies not yet bound may hold a node that leaves in tables of others: for them it is withdrawn. */
-    private void shut(Node node, boolean out) {
-        List<Proxy> others = proxies.values().stream().filter(p -> !p.bound).toList();
-        node.removedAt = out ? now : node.removedAt;
-        boolean held = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
-        if (out ? !node.withdrawn && !node.ready() && !others.isEmpty() && !held : node.withdrawn) {
-            node.withdrawn = out;
-            orders.withdraw(node.id, out);
-            others.forEach(proxy -> reach(proxy, 1));
-        }
-    }
-
     private void reach(Proxy proxy, double lines) {
         turn.merge(proxy.id, settings.linesPerMessage() + 1 + lines, (old, more) -> old + lines);
     }
@@ -952,7 +941,7 @@
         sequence++;
         orders.mark((int) (sequence & 0xFFFF));
         turn.forEach((id, lines) -> {
-            proxies.get(id).unanswered.addLast(new Message(sequence, lines, now));
+            proxies.get(id).unanswered.addLast(new Message(sequence, lines));
             proxies.get(id).written.addLast(now);
         });
         turn.clear();
