--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -15,23 +15,18 @@
  * delivery is in flight per table, the proxies' answers settle it, laggards are bound again.
  */
 public final class Brain {
-    private static final long SECOND = 1_000_000_000L, NEVER = Long.MIN_VALUE / 2;
-    /** How often the module looks when nothing comes in. */
-    private static final long TICK = SECOND / 10;
-
-    /** Load and answers are averaged over so many reports, or answers of a node if that takes longer. */
-    private static final double WINDOW_REPORTS = 20, WINDOW_ANSWERS = 80;
-    /** Demand moves sooner than machines do. */
-    private static final double DEMAND_REPORTS = 2.5;
+    /** Units of time; the module looks once a tick when nothing comes in. */
+    private static final long SECOND = 1_000_000_000L, NEVER = Long.MIN_VALUE / 2, TICK = SECOND / 10;
+
+    /** Load is averaged over so many reports, or answers if that takes longer; demand moves sooner. */
+    private static final double WINDOW_REPORTS = 20, WINDOW_ANSWERS = 80, DEMAND_REPORTS = 2.5;
     /** What like machines showed counts as so many answers of a node's own when its size is estimated. */
     private static final double PRIOR_ANSWERS = 25;
     /** A weight steps once per this, over this part of the gap, once the gap leaves the band. */
     private static final long STEP_EVERY = SECOND;
     private static final double STEP_PART = 0.6, STEP_BAND = 0.08;
-    /** Bounds of a weight against its start. */
-    private static final double LEAST_SKILL = 0.25, MOST_SKILL = 3;
-    /** A node is at most so many times as large as its latency against that of like machines tells. */
-    private static final double LATE_SIZE = 1.3;
+    /** Bounds of a weight against its start, and of a size against what its latency tells. */
+    private static final double LEAST_SKILL = 0.25, MOST_SKILL = 3, LATE_SIZE = 1.3;
     /** How far spare capacity leans to larger nodes, the least left to a small one, the pace, the most. */
     private static final double LEAN = 1.3, LEAST_LEAN = 0.25, LEAN_PACE = 0.05, MOST_SLACK = 0.6;
     /** A line is committed anew when it differs by more than this part. */
@@ -43,11 +38,9 @@
     private static final double SICK_SHARE_BUSY = 0.9, BUSY = 0.8;
     /** A node without a good answer for so many reports, while others have them, is silent, not busy. */
     private static final double FRESH_REPORTS = 2.5;
-    /** A sick node keeps a trickle, then a trial's part, so that its return is seen. */
-    private static final double TRICKLE = 0.02, TRIAL = 0.1;
+    /** A sick node keeps a trickle, then a trial's part; if more of a table's size is sick, all are well. */
+    private static final double TRICKLE = 0.02, TRIAL = 0.1, MOST_SICK = 0.5;
     private static final long TRIAL_AFTER = 4 * SECOND;
-    /** Sick nodes may make up so much of a table's size; beyond, all count as well. */
-    private static final double MOST_SICK = 0.5;
     /** A node whose tries go unanswered is probed at the first pace, the others at the second. */
     private static final double SUSPECT_SHARE = 0.12;
     private static final long PROBE_SUSPECT = SECOND, PROBE_EVERY = 4 * SECOND;
@@ -62,16 +55,13 @@
     /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
     private static final double PART_CROWDED = 0.35, PART_DELIVERY = 0.5, PART_URGENT = 0.7;
     private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
-    /** Whole tables wait here rather than in the channel, where they would grow old. */
-    private static final long BIND_DEPTH = SECOND / 2;
-    /** The smallest group of proxies that a table is laid for. */
-    private static final int LEAST_GROUP = 8;
-    /** A level that falls below this part of the old one does not wait. */
-    private static final double LEVEL_FALLS = 0.75;
-
-    /** Levels: how often they are set, the load they keep to, when shedding starts and ends. */
+    /** Whole tables wait here rather than in the channel; the smallest group that a table is laid for. */
+    private static final long BIND_DEPTH = SECOND / 2, LEAST_GROUP = 8;
+
+    /** Levels: how often set, the load kept to, what fall does not wait, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
-    private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, SHED_FROM = 0.88, SHED_UNTIL = 0.78;
+    private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, LEVEL_FALLS = 0.75;
+    private static final double SHED_FROM = 0.88, SHED_UNTIL = 0.78;
 
     private final Settings settings;
     private final RandomGenerator random;
@@ -252,6 +242,7 @@
         boolean sick;
         long sickSince;
         long probedAt;
+        boolean withdrawn;
         long removedAt = NEVER;
 
         Node(NodeId id) {
@@ -335,7 +326,7 @@
         }
     }
 
-    private record Message(long sequence, double lines) { }
+    private record Message(long sequence, double lines, long at) { }
 
     private static final class Table {
         final TableId id;
@@ -577,9 +568,13 @@
         return nodes.values().stream().filter(Node::ready).toList();
     }
 
-    /** RPCs a second that the nodes of the widest table can do by now; NaN before anything was heard. */
+    /**
+     * RPCs a second that nodes with a line can do by now, in the widest table; NaN before anything was heard.
+     * Guards against few nodes that carry all while the lines of returned ones wait for a slow channel.
+     */
     private double able() {
         return unit * tables.stream().mapToDouble(table -> open(table).stream()
+                .filter(n -> table.laid.containsKey(n.id))
                 .mapToDouble(n -> n.size() * present(n, table)).sum()).max().orElse(0);
     }
 
@@ -769,7 +764,7 @@
                 || proxy.messages() + 1 <= part * settings.messageLimit();
     }
 
-    /** A delivery unanswered for too long is closed; its laggards are owed the whole table instead. */
+    /** A delivery unanswered too long is closed; its laggards are owed the table, unbound ones nothing. */
     private void settle() {
         long patience = patience();
         for (Table table : tables) {
@@ -784,6 +779,7 @@
             }
         }
         for (Proxy proxy : proxies.values()) {
+            proxy.unanswered.removeIf(m -> !proxy.bound && now - m.at() > patience);
             proxy.owed |= proxy.bound && proxy.wholeSequence > proxy.answered
                     && now - proxy.wholeAt > patience;
         }
@@ -808,7 +804,8 @@
             for (Table table : tables) {
                 lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
             }
-            double room = room(proxy.late() ? PART_WHOLE : part) - settings.linesPerMessage() - 1;
+            double room = room(proxy.late() ? Math.max(part, PART_DELIVERY) : part)
+                    - settings.linesPerMessage() - 1;
             if (!mayWrite(proxy, PART_WHOLE) || room < lines
                     || tables.stream().allMatch(t -> t.laid.isEmpty())) {
                 continue;
@@ -914,6 +911,7 @@
             put(table.laid, id, weight);
             nodes.get(id).removedAt = weight == 0 ? now : nodes.get(id).removedAt;
         }
+        changes.forEach(id -> shut(nodes.get(id)));
         table.pendingLevels.forEach((method, level) ->
                 orders.level(table.id, method, level));
         table.pendingLevels.clear();
@@ -929,6 +927,17 @@
         freeAt = Math.max(now, freeAt) + (long) (lines / settings.linesPerSecond() / use * SECOND);
     }
 
+    /** Proxies not yet bound may hold a node that left: for them it is shut out until it is laid again. */
+    private void shut(Node node) {
+        boolean held = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
+        List<Proxy> unbound = proxies.values().stream().filter(p -> !p.bound).toList();
+        if (node.withdrawn ? held : !held && !node.ready() && !unbound.isEmpty()) {
+            node.withdrawn = !held;
+            orders.withdraw(node.id, node.withdrawn);
+            unbound.forEach(proxy -> reach(proxy, 1));
+        }
+    }
+
     private void reach(Proxy proxy, double lines) {
         turn.merge(proxy.id, settings.linesPerMessage() + 1 + lines, (old, more) -> old + lines);
     }
@@ -941,7 +950,7 @@
         sequence++;
         orders.mark((int) (sequence & 0xFFFF));
         turn.forEach((id, lines) -> {
-            proxies.get(id).unanswered.addLast(new Message(sequence, lines));
+            proxies.get(id).unanswered.addLast(new Message(sequence, lines, now));
             proxies.get(id).written.addLast(now);
         });
         turn.clear();
--- a/src/main/java/rosespread/adapter/Steps.java
+++ b/src/main/java/rosespread/adapter/Steps.java
@@ -63,6 +63,14 @@
         });
     }
 
+    @Override
+    public void withdraw(NodeId node, boolean out) {
+        step("Cordon", () -> {
+            reply.writeBooleanField("active", out);
+            reply.writeNumberField("node", node.value());
+        });
+    }
+
     @Override
     public void level(TableId table, MethodId method, double admitted) {
         step("Admit", () -> {
--- a/src/main/java/rosespread/api/Orders.java
+++ b/src/main/java/rosespread/api/Orders.java
@@ -8,6 +8,9 @@
     /** Sends a proxy the whole table for these methods; it gets the table's changes from then on. */
     void bind(ProxyId proxy, Iterable<MethodId> methods, TableId table);
 
+    /** Shuts a node out of everything that the joined proxies hold, or lets it in again. */
+    void withdraw(NodeId node, boolean out);
+
     /** Lets in so much of a method at each proxy of the table (infinite: all). */
     void level(TableId table, MethodId method, double admitted);
 
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -209,4 +209,49 @@
         Rig rig = new Rig(settings()).list(Observer.ListKind.REMEMBERED, DRAINING, LONG_AGO, 9).start(4, 1);
         assertEquals(List.of(), rig.since(0, "line 1 9 "));
     }
+
+    /** Full size: 110 nodes, up to 150 proxies; a site's nodes leave one by one and return cold. */
+    @ParameterizedTest
+    @CsvSource({"50, 3400, 30", "100, 3400, 30", "150, 4900, 20", "31, 1100, 30"})
+    void nodesThatLeaveOneByOneKeepTheQueueAndTheMessages(int proxies, double queue, int limit) {
+        Rig rig = new Rig(settings(queue, limit, method(1)));
+        rig.slow = true;
+        rig.start(110, proxies).run(20);
+        for (int node = 0; node < 36; node++) {
+            rig.list(CHANGES, GONE, LONG_AGO, node).run(0.2);
+        }
+        rig.run(4);
+        assertTrue(rig.mostWaiting <= queue, rig.mostWaiting + " lines waited");
+        assertTrue(rig.mostMessages <= limit, rig.mostMessages + " messages to one proxy");
+        assertEquals(0, IntStream.range(0, 36).mapToLong(rig::holders).sum(), "nodes that left are held");
+        rig.list(CHANGES, READY, 126 * Rig.SECOND, IntStream.range(0, 36).toArray()).run(30);
+        assertEquals(36L * proxies, IntStream.range(0, 36).mapToLong(rig::holders).sum(), "returned nodes");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.1, 0.2, 1.0", "0.3, 0.2, 0.7", "0.6, 0.2, 0.7"})
+    void aReportOfLittleLoadMakesNoNodeLargerThanItsLatencyAllows(double latency, double reported,
+            double most) {
+        Rig rig = new Rig(settings()).start(10, 4);
+        for (int i = 0; i < 40; i++) {
+            for (int node = 0; node < 10; node++) {
+                rig.latency = node == 0 ? latency : 0.1;
+                rig.sums(node, 10, 0, node == 0 ? reported : 0.5);
+            }
+            rig.run(1);
+        }
+        double share = rig.weight(1, 0) / rig.weight(1, 2);
+        assertEquals(most < 1, share < most, "weight " + share);
+    }
+
+    @Test
+    void inputThatMakesNoSenseIsPassedOver() {
+        Rig rig = new Rig(settings()).start(4, 2);
+        int place = rig.all.size();
+        rig.sums(99, 10, 10, 0.9).offered(99, 0, 10).offered(0, 0, 0).with(o -> o.proxyLeft(new ProxyId(98)));
+        rig.with(o -> o.installed(new ProxyId(99), 5, 1)).with(o -> o.installed(new ProxyId(0), 4711, 1));
+        rig.list(CHANGES, READY, LONG_AGO).run(1);
+        assertEquals(List.of(), rig.all.subList(place, rig.all.size()).stream()
+                .filter(line -> !line.equals("wake")).toList());
+    }
 }
--- a/src/test/java/rosespread/Rig.java
+++ b/src/test/java/rosespread/Rig.java
@@ -1,9 +1,13 @@
 package rosespread;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import rosespread.api.KindId;
 import rosespread.api.MethodId;
@@ -23,6 +27,17 @@
     final List<String> all = new ArrayList<>();
     private final List<Consumer<Observer>> next = new ArrayList<>();
     private long now = 100 * SECOND;
+    double latency = 0.1;
+    /** Whether answers come once the message has left the channel; else at once. */
+    boolean slow;
+    double mostWaiting;
+    private final ArrayDeque<Sent> channel = new ArrayDeque<>();
+    private double credit;
+    int mostMessages;
+    private double waiting;
+    private final Map<Integer, Integer> tableOf = new TreeMap<>();
+    private final Map<Integer, Set<Integer>> lines = new TreeMap<>();
+    private final Map<Integer, List<Long>> messages = new TreeMap<>();
 
     Rig(Settings settings) {
         brain = new Brain(settings, new SplittableRandom(7));
@@ -39,7 +54,8 @@
     /** A deployment of one zone whose channel holds so many lines and which pushes so many messages. */
     static Settings settings(double queue, int messages, Settings.Method... methods) {
         return new Settings(List.of(methods), 1, false, false, false, Settings.Throttle.RATE, 1000, 10, queue,
-                0.04, messages, 10 * SECOND, SECOND / 2, SECOND, 2 * SECOND, 16 * SECOND, 0.16, 3 * SECOND / 2);
+                0.04, messages, 10 * SECOND, SECOND / 2, SECOND, 2 * SECOND, 16 * SECOND, 0.16,
+                3 * SECOND / 2);
     }
 
     static Settings settings() {
@@ -66,7 +82,10 @@
         for (int proxy = 0; proxy < proxies; proxy++) {
             join(proxy, 10 + proxy);
         }
-        answer(round(0));
+        List<String> orders = round(0);
+        if (!slow) {
+            answer(orders);
+        }
         return run(2);
     }
 
@@ -76,7 +95,8 @@
 
     Rig sums(int node, int tries, int unanswered, double utilization) {
         ZoneId zone = new ZoneId(0);
-        return with(o -> o.sums(new NodeId(node), zone, tries, unanswered, 0.1, SECOND, utilization));
+        double seconds = latency;
+        return with(o -> o.sums(new NodeId(node), zone, tries, unanswered, seconds, SECOND, utilization));
     }
 
     Rig offered(int proxy, int method, int count) {
@@ -91,6 +111,7 @@
         Written orders = new Written();
         brain.round(now, observer -> events.forEach(event -> event.accept(observer)), orders);
         all.addAll(orders.lines);
+        count(orders.lines);
         return orders.lines;
     }
 
@@ -98,7 +119,12 @@
     Rig run(double seconds, int... silent) {
         for (int i = 0; i < Math.round(seconds * 10); i++) {
             with(Observer::woke);
-            answer(round(0.1), silent);
+            List<String> orders = round(0.1);
+            if (slow) {
+                answerWhatLeft();
+            } else {
+                answer(orders, silent);
+            }
         }
         return this;
     }
@@ -107,7 +133,7 @@
         for (String order : orders) {
             if (order.startsWith("mark ")) {
                 int mark = Integer.parseInt(order.substring(5));
-                for (int proxy = 0; proxy < 20; proxy++) {
+                for (int proxy = 0; proxy < 150; proxy++) {
                     int id = proxy;
                     if (java.util.Arrays.stream(silent).noneMatch(s -> s == id)) {
                         with(o -> o.installed(new ProxyId(id), mark, SECOND / 10));
@@ -117,6 +143,57 @@
         }
     }
 
+    /** Lets a channel of 1000 lines a second take a round's orders, as the wire counts them. */
+    private void count(List<String> orders) {
+        Map<Integer, Double> sent = new TreeMap<>();
+        for (String order : orders) {
+            String[] word = order.split(" ");
+            if (word[0].equals("bind")) {
+                int table = Integer.parseInt(word[2]);
+                tableOf.put(Integer.parseInt(word[1]), table);
+                sent.merge(Integer.parseInt(word[1]), 1.0 + lines.get(table).size(), Double::sum);
+            } else if (word[0].equals("line")) {
+                int table = Integer.parseInt(word[1]);
+                Set<Integer> held = lines.computeIfAbsent(table, t -> new TreeSet<>());
+                if (Double.parseDouble(word[3]) > 0) {
+                    held.add(Integer.parseInt(word[2]));
+                } else {
+                    held.remove(Integer.parseInt(word[2]));
+                }
+                tableOf.forEach((proxy, t) -> sent.merge(proxy, t == table ? 1.0 : 0, Double::sum));
+            }
+        }
+        sent.values().removeIf(lines -> lines == 0);
+        int mark = orders.stream().filter(order -> order.startsWith("mark "))
+                .mapToInt(order -> Integer.parseInt(order.substring(5))).findFirst().orElse(0);
+        for (Map.Entry<Integer, Double> message : sent.entrySet()) {
+            waiting += message.getValue() + 11;
+            channel.addLast(new Sent(message.getKey(), mark, message.getValue() + 11));
+            List<Long> times = messages.computeIfAbsent(message.getKey(), p -> new ArrayList<>());
+            times.add(now);
+            times.removeIf(at -> now - at > 10 * SECOND);
+            mostMessages = Math.max(mostMessages, times.size());
+        }
+        mostWaiting = Math.max(mostWaiting, waiting);
+    }
+
+    private record Sent(int proxy, int mark, double lines) { }
+
+    private void answerWhatLeft() {
+        credit = channel.isEmpty() ? 0 : credit + 100;
+        while (!channel.isEmpty() && channel.peekFirst().lines() <= credit) {
+            Sent left = channel.removeFirst();
+            credit -= left.lines();
+            waiting -= left.lines();
+            with(o -> o.installed(new ProxyId(left.proxy()), left.mark(), SECOND / 2));
+        }
+    }
+
+    /** How many proxies follow a table with a line of this node. */
+    long holders(int node) {
+        return tableOf.values().stream().filter(table -> lines.get(table).contains(node)).count();
+    }
+
     /** The orders since a place in all of them that start so. */
     List<String> since(int place, String start) {
         return all.subList(place, all.size()).stream().filter(line -> line.startsWith(start)).toList();
@@ -145,6 +222,11 @@
             lines.add("bind " + proxy.value() + " " + table.value());
         }
 
+        @Override
+        public void withdraw(NodeId node, boolean out) {
+            lines.add((out ? "withdraw " : "readmit ") + node.value());
+        }
+
         @Override
         public void level(TableId table, MethodId method, double admitted) {
             lines.add("level " + method.value() + " " + admitted);
