--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -228,6 +228,24 @@
         assertEquals(36L * proxies, IntStream.range(0, 36).mapToLong(rig::holders).sum(), "returned nodes");
     }
 
+    /** One conductor takes over from another while nodes leave. */
+    @ParameterizedTest
+    @CsvSource({"75, 75, 4900, 20", "50, 50, 3400, 30", "15, 16, 1100, 30"})
+    void aCrowdThatJoinsIsBoundWithinTheQueueAndTheMessages(int proxies, int more, double queue, int limit) {
+        Rig rig = new Rig(settings(queue, limit, method(1)));
+        rig.slow = true;
+        rig.start(110, proxies).run(20);
+        IntStream.range(proxies, proxies + more).forEach(p -> rig.join(p, 5));
+        for (int node = 0; node < 10; node++) {
+            rig.list(CHANGES, GONE, LONG_AGO, node).run(0.3);
+        }
+        rig.run(20);
+        assertTrue(rig.mostWaiting <= queue, rig.mostWaiting + " lines waited");
+        assertTrue(rig.mostMessages <= limit, rig.mostMessages + " messages to one proxy");
+        assertEquals(100L * (proxies + more), IntStream.range(10, 110).mapToLong(rig::holders).sum());
+        assertEquals(0, IntStream.range(0, 10).mapToLong(rig::holders).sum());
+    }
+
     @ParameterizedTest
     @CsvSource({"0.1, 0.2, 1.0", "0.3, 0.2, 0.7", "0.6, 0.2, 0.7"})
     void aReportOfLittleLoadMakesNoNodeLargerThanItsLatencyAllows(double latency, double reported,
