One name for a message's head and mark, one group list a turn, the unit worked out once

Found on re-reading: head lines plus one stood in seven places, proxies of a group were walked twice a turn, the unit was computed twice a round, and a comment gave half where the code has four tenths.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -120,7 +120,7 @@
 
     /** The emptiest group; a new one once all are so large that a delivery of every line would not fit. */
     private int groupToJoin() {
-        double lines = settings.linesPerMessage() + 1 + of(0).stream().mapToInt(t -> open(t).size()).sum();
+        double lines = headAndMark() + of(0).stream().mapToInt(t -> open(t).size()).sum();
         int[] members = new int[spokenAt.size()];
         proxies.values().forEach(p -> members[p.group]++);
         double most = Math.max(LEAST_GROUP, PART_DELIVERY * settings.queueLimit() / lines);
@@ -197,8 +197,7 @@
      */
     private final class Rate {
         private final double reports;
-        private final Sum count = new Sum(1);
-        private final Sum covered = new Sum(1);
+        private final Sum count = new Sum(1), covered = new Sum(1);
 
         Rate(double reports) {
             this.reports = reports;
@@ -304,8 +303,7 @@
         final ArrayDeque<Message> unanswered = new ArrayDeque<>();
         final ArrayDeque<Long> written = new ArrayDeque<>();
         boolean bound, owed = true;
-        long wholeSequence, wholeAt;
-        long answered;
+        long wholeSequence, wholeAt, answered;
 
         Proxy(ProxyId id, ZoneId zone, double rate, int group) {
             this.group = group;
@@ -493,10 +491,11 @@
     private void estimate() {
         ready().forEach(n -> latencyOfKind.put(n.kind, meanLatency(n.kind)));
         double meanLatency = meanLatency(null);
-        if (!(unitOf(null, meanLatency) > 0)) {
+        double told = unitOf(null, meanLatency);
+        if (!(told > 0)) {
             return;
         }
-        unit = unitOf(null, meanLatency);
+        unit = told;
         for (KindId kind : latencyOfKind.keySet()) {
             unitOfKind.merge(kind, unitOf(kind, meanLatency), (old, next) -> next > 0 ? next : old);
         }
@@ -755,6 +754,10 @@
                 + turn.values().stream().mapToDouble(lines -> lines).sum();
     }
 
+    private double headAndMark() {
+        return settings.linesPerMessage() + 1;
+    }
+
     private double room(double part) {
         return part * settings.queueLimit() - waiting();
     }
@@ -804,8 +807,7 @@
             for (Table table : tables) {
                 lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
             }
-            double room = room(proxy.late() ? Math.max(part, PART_DELIVERY) : part)
-                    - settings.linesPerMessage() - 1;
+            double room = room(proxy.late() ? Math.max(part, PART_DELIVERY) : part) - headAndMark();
             if (!mayWrite(proxy, PART_WHOLE) || room < lines
                     || tables.stream().allMatch(t -> t.laid.isEmpty())) {
                 continue;
@@ -832,8 +834,8 @@
     private void deliver(int group) {
         List<Table> due = of(group).stream()
                 .filter(t -> !t.pending.isEmpty() || !t.pendingLevels.isEmpty()).toList();
-        List<Proxy> bound = proxies.values().stream().filter(p -> p.bound && p.group == group).toList();
-        long others = proxies.values().stream().filter(p -> !p.bound && p.group == group).count();
+        List<Proxy> members = proxies.values().stream().filter(p -> p.group == group).toList();
+        List<Proxy> bound = members.stream().filter(p -> p.bound).toList();
         boolean urgent = due.stream().anyMatch(this::urgent);
         boolean drain = due.stream().anyMatch(t -> drained(t) > 0);
         double part = drain ? PART_DRAIN : urgent ? PART_URGENT : PART_DELIVERY;
@@ -846,10 +848,10 @@
                 continue;
             }
             boolean first = bound.stream().noneMatch(p -> turn.containsKey(p.id));
-            double head = (first ? settings.linesPerMessage() + 1 : 0) + table.pendingLevels.size();
-            double users = Math.max(1, bound.size() + others);
+            double head = (first ? headAndMark() : 0) + table.pendingLevels.size();
+            double users = Math.max(1, members.size());
             double kept = tables.stream().filter(t -> t.group != group && drained(t) > 0)
-                    .mapToDouble(t -> (drained(t) + settings.linesPerMessage() + 1) * users(t).size()).sum();
+                    .mapToDouble(t -> (drained(t) + headAndMark()) * users(t).size()).sum();
             int fit = (int) Math.floor(Math.max((room(PART_DELIVERY) - kept) / users - head,
                     Math.min(drained(table), room(PART_DRAIN) / users - head)));
             double least = urgent(table) || waiting() == 0 ? 0
@@ -863,12 +865,12 @@
         }
     }
 
-    /** Heads may take half of the channel if much has changed or cannot wait, else an eighth. */
+    /** Heads may take four tenths of the channel if much has changed or cannot wait, else an eighth. */
     private long gap(double part, List<Table> due, List<Proxy> bound) {
-        double head = settings.linesPerMessage() + 1;
         boolean urgent = part > PART_DELIVERY;
-        boolean much = urgent || due.stream().mapToInt(t -> t.pending.size()).sum() > 1.5 * head;
-        double heads = head * proxies.size() / settings.linesPerSecond() / (much ? HEADS_MOST : HEADS_USUAL);
+        boolean much = urgent || due.stream().mapToInt(t -> t.pending.size()).sum() > 1.5 * headAndMark();
+        double heads = headAndMark() * proxies.size() / settings.linesPerSecond()
+                / (much ? HEADS_MOST : HEADS_USUAL);
         int most = bound.stream().mapToInt(Proxy::messages).max().orElse(0);
         long messages = 4 * most > settings.messageLimit() && settings.messageLimit() > 0
                 ? (long) (settings.messageSpan() / (part * settings.messageLimit())) : 0;
@@ -922,7 +924,7 @@
             reach(proxy, sent);
             table.inFlight.add(proxy.id);
         }
-        double lines = table.inFlight.size() * (sent + settings.linesPerMessage() + 1);
+        double lines = table.inFlight.size() * (sent + headAndMark());
         double use = Math.min(CHANNEL_USE, CHANNEL_PRICE / settings.orderPrice());
         freeAt = Math.max(now, freeAt) + (long) (lines / settings.linesPerSecond() / use * SECOND);
     }
@@ -939,7 +941,7 @@
     }
 
     private void reach(Proxy proxy, double lines) {
-        turn.merge(proxy.id, settings.linesPerMessage() + 1 + lines, (old, more) -> old + lines);
+        turn.merge(proxy.id, headAndMark() + lines, (old, more) -> old + lines);
     }
 
     /** All orders of a round are one message for each proxy reached, with one mark. */
