--- a/src/main/java/rosespread/conductor/ChannelServer.java
+++ b/src/main/java/rosespread/conductor/ChannelServer.java
@@ -12,6 +12,7 @@
 import rosespread.channel.Frame;
 import rosespread.channel.FrameException;
 import rosespread.channel.FrameReader;
+import rosespread.turn.Inbox;
 
 /** The proxies' side of the conductor's sockets: turns what happens there into events for the inbox. */
 final class ChannelServer implements AutoCloseable {
--- a/src/main/java/rosespread/conductor/Conductor.java
+++ b/src/main/java/rosespread/conductor/Conductor.java
@@ -30,6 +30,8 @@
 import rosespread.settings.Snapshot;
 import rosespread.store.Sink;
 import rosespread.store.TableStore;
+import rosespread.turn.DecisionLoop;
+import rosespread.turn.Inbox;
 
 /**
  * The running conductor: one decision thread round a {@link Core}, fed through a lock-free inbox by MINA's
@@ -48,10 +50,7 @@
     };
 
     private static final Logger LOG = LoggerFactory.getLogger(Conductor.class);
-    private static final long LEAST_SLEEP = 200_000L;
-    private static final long LONGEST_SLEEP = 20_000_000L;
     private static final long ACT_SECONDS = 2;
-    private static final int EVENTS_A_TURN = 4096;
     /** How long a start waits for what other conductors know; a dead one must not hold it up for long. */
     private static final long PEERS_NANOS = 500_000_000L;
     private static final int CONNECT_MILLIS = 500;
@@ -73,7 +72,7 @@
     private final HttpClient http = new HttpClient(1, HttpLimits.LARGE, CONNECT_MILLIS, IDLE_SECONDS);
     private final PeerDrains peers;
     private final Thread thread;
-    private volatile boolean stopping;
+    private final DecisionLoop loop;
     private volatile ConductorState state;
     private volatile String settingsTrouble = "";
     private volatile Snapshot.Saved inForce;
@@ -93,7 +92,12 @@
         this.server = new ChannelServer(2, inbox, core);
         this.state = core.state();
         this.peers = new PeerDrains(http, timer, words -> inbox.put(now -> core.hear(now, words)));
-        this.thread = new Thread(this::run, "decisions");
+        this.loop = new DecisionLoop(inbox, core::turn);
+        this.thread = new Thread(() -> {
+            loop.run();
+            core.stop(System.nanoTime());
+            inbox.close();
+        }, "decisions");
     }
 
     /**
@@ -288,34 +292,9 @@
         return Optional.ofNullable(inForce);
     }
 
-    private void run() {
-        while (!stopping) {
-            long now = System.nanoTime();
-            Inbox.Event event = inbox.poll();
-            for (int i = 0; event != null; i++) {
-                guarded(event, now);
-                event = i < EVENTS_A_TURN ? inbox.poll() : null;
-            }
-            long[] next = {now};
-            guarded(time -> next[0] = core.turn(time), now);
-            inbox.await(Math.min(LONGEST_SLEEP, Math.max(LEAST_SLEEP, next[0] - System.nanoTime())));
-        }
-        core.stop(System.nanoTime());
-        inbox.close();
-    }
-
-    /** One event that goes wrong must not end the only thread that decides: the rest go on. */
-    private static void guarded(Inbox.Event event, long now) {
-        try {
-            event.at(now);
-        } catch (RuntimeException e) {
-            LOG.error("an event could not be taken up", e);
-        }
-    }
-
     @Override
     public void close() {
-        stopping = true;
+        loop.stop();
         try {
             thread.join(2_000);
         } catch (InterruptedException e) {
--- a/src/main/java/rosespread/conductor/ConductorState.java
+++ b/src/main/java/rosespread/conductor/ConductorState.java
@@ -9,6 +9,7 @@
 import rosespread.drain.Drains;
 import rosespread.list.ListedNode;
 import rosespread.settings.FleetSettings;
+import rosespread.turn.Rounds;
 
 /** The conductor at one moment, for those who look from outside. Ages and times in milliseconds. */
 public record ConductorState(String phase, int proxies, int proxiesBound, long linesWaiting,
@@ -51,7 +52,7 @@
     static ConductorState of(FleetSettings settings, Collection<Link> links, Collection<ListedNode> listed,
             List<Table> tables, Drains drains, Map<NodeId, Long> triedAt, Collection<NodeId> withdrawn,
                     PacedChannel channel,
-                    Core.Counts counts,
+                    Core.Counts counts, Rounds rounds,
             Storage storage, long now) {
         int unheard = settings == null ? 0 : (int) links.stream().filter(link ->
                 now - link.reportedAt > REPORTS_MISSED * settings.reportPeriod()).count();
@@ -69,12 +70,12 @@
                     (now - link.heardAt) / 1_000_000,
                     link.bound.size()));
         }
-        double mean = counts.rounds == 0 ? 0 : counts.roundNanos / 1e6 / counts.rounds;
         return new ConductorState(settings == null ? "waiting for settings" : "serving", links.size(),
                 (int) links.stream().filter(link -> !link.bound.isEmpty()).count(),
                 channel == null ? 0 : channel.linesWaiting(), channel == null ? 0 : channel.mostWaiting(),
-                channel == null ? 0 : channel.messagesLeft(), counts.rounds, mean, counts.worstRound / 1e6,
-                counts.joins, counts.strayAnswers, counts.unknownNodes, counts.plannerFaults, counts.missed,
+                channel == null ? 0 : channel.messagesLeft(), rounds.played(),
+                rounds.meanNanos() / 1e6, rounds.worstNanos() / 1e6,
+                counts.joins, counts.strayAnswers, counts.unknownNodes, rounds.faults(), counts.missed,
                         counts.silent,
                 counts.slow, counts.lists, counts.listFailures, counts.listTrouble, counts.mode, nodeList,
                         tables,
--- a/src/main/java/rosespread/conductor/Core.java
+++ b/src/main/java/rosespread/conductor/Core.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rosespread.api.Feed;
 import rosespread.api.KindId;
 import rosespread.api.MethodId;
 import rosespread.api.NodeId;
@@ -29,6 +30,7 @@
 import rosespread.release.Gate;
 import rosespread.release.Patience;
 import rosespread.settings.FleetSettings;
+import rosespread.turn.Rounds;
 
 /**
  * The conductor without its threads and sockets: tells the module what happened and carries out its orders.
@@ -47,10 +49,7 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Core.class);
-    /** Rounds come at most this often, so that answers that arrive together are one round. */
-    private static final long ROUND_GAP = 10_000_000L;
     private static final long JOIN_WITHIN = 5_000_000_000L;
-    private static final long PLANNER_PAUSE = 1_000_000_000L;
     /** Keep-alives missed in a row that break a stream. */
     private static final int KEEP_ALIVES_MISSED = 4;
     /** A change of the list, or much unanswered, is a cause for large moves for so long. */
@@ -76,7 +75,8 @@
     private final TreeMap<NodeId, Start> starts = new TreeMap<>();
     private final TreeMap<String, Integer> zones = new TreeMap<>();
     private final TreeMap<String, Integer> kinds = new TreeMap<>();
-    private List<Consumer<Observer>> calls = new ArrayList<>();
+    private final Rounds rounds = new Rounds();
+    private final Rounds.Player player = new Playing();
     private SumsGatherer sums = new SumsGatherer();
     private FleetSettings settings;
     private Planner planner;
@@ -84,10 +84,7 @@
     private PacedChannel channel;
     private long number;
     private long now;
-    private long wakeAt = Long.MAX_VALUE;
     private long sumsAt;
-    private long lastRound = Long.MIN_VALUE / 2;
-    private long plannerAt = Long.MIN_VALUE;
     private boolean listKnown;
     private long factsVersion;
     private long warmAt = Long.MAX_VALUE;
@@ -98,13 +95,9 @@
 
     /** What happened since the start, for the state page. */
     static final class Counts {
-        long rounds;
-        long roundNanos;
-        long worstRound;
         long joins;
         long strayAnswers;
         long unknownNodes;
-        long plannerFaults;
         long silent;
         long missed;
         long slow;
@@ -155,7 +148,7 @@
         for (Link link : List.copyOf(links)) {
             close(link, Frame.Reason.STOPPING, why);
         }
-        calls = new ArrayList<>();
+        rounds.begin();
         sums = new SumsGatherer();
         channel = new PacedChannel(settings.channel().linesPerSecond(), book.log(),
                 new Patience(settings.drainGrace()));
@@ -165,9 +158,7 @@
         factsChange();
         turn = new TurnOrders(joined, nodes, channel, settings, gate, book, number, new Acts());
         planner = world.planner(settings, settings.seed());
-        wakeAt = Long.MAX_VALUE;
         sumsAt = now + settings.reportPeriod();
-        calls.add(observer -> { });
         if (listKnown) {
             tellList(Observer.ListKind.REMEMBERED);
         }
@@ -265,7 +256,7 @@
                 .addKeyValue("from", link.wire.remote()).log("proxy joined");
         long wall = wallMillis.getAsLong();
         join.held().forEach(held -> book.met(held.table(), held.version(), wall));
-        calls.add(observer -> observer.proxyJoined(id, link.zone, join.rate()));
+        rounds.add(observer -> observer.proxyJoined(id, link.zone, join.rate()));
     }
 
     /** An answer to a mark that was not written on this stream is nobody's: it may be of an earlier one. */
@@ -281,7 +272,7 @@
         link.marks.removeFirst();
         long took = now - found.orderedAt();
         if (found.mark() >= 0) {
-            calls.add(observer -> observer.installed(link.proxy, found.mark(), took));
+            rounds.add(observer -> observer.installed(link.proxy, found.mark(), took));
         }
     }
 
@@ -304,7 +295,7 @@
                         + settings.methods().size());
                 return;
             }
-            calls.add(observer -> observer.offered(link.proxy, count.method(), count.came(),
+            rounds.add(observer -> observer.offered(link.proxy, count.method(), count.came(),
                     offered.coversMicros() * 1000));
         }
     }
@@ -333,7 +324,7 @@
             joined.remove(link.proxy);
             byName.remove(link.name);
             ProxyId id = link.proxy;
-            calls.add(observer -> observer.proxyLeft(id));
+            rounds.add(observer -> observer.proxyLeft(id));
         }
         if (channel != null) {
             channel.drop(link);
@@ -414,7 +405,7 @@
         List<ListedNode> told = List.copyOf(listed.values());
         Map<NodeId, Long> up = new TreeMap<>();
         told.forEach(node -> up.put(node.id(), started(node)));
-        calls.add(observer -> {
+        rounds.add(observer -> {
             observer.listBegins(kind);
             for (ListedNode node : told) {
                 observer.node(node.id(), new KindId(place(kinds, node.kind())),
@@ -455,7 +446,7 @@
                     + why);
         }
         counts.listTrouble = why;
-        calls.add(observer -> {
+        rounds.add(observer -> {
             observer.listBegins(Observer.ListKind.UNAVAILABLE);
             observer.listEnds();
         });
@@ -463,7 +454,7 @@
 
     public void probed(long time, NodeId node, Observer.Verdict verdict) {
         now = time;
-        calls.add(observer -> observer.probed(node, verdict));
+        rounds.add(observer -> observer.probed(node, verdict));
     }
 
     // ---- the round ----
@@ -478,22 +469,9 @@
             sumsAt = now + settings.reportPeriod();
             SumsGatherer gathered = sums;
             sums = new SumsGatherer();
-            calls.add(gathered::handTo);
-        }
-        if (now >= wakeAt) {
-            wakeAt = Long.MAX_VALUE;
-            calls.add(Observer::woke);
-        }
-        long next = Math.min(sumsAt, wakeAt);
-        if (!calls.isEmpty()) {
-            long at = Math.max(lastRound + ROUND_GAP, plannerAt);
-            if (now >= at) {
-                round();
-                next = Math.min(next, wakeAt);
-            } else {
-                next = Math.min(next, at);
-            }
+            rounds.add(gathered::handTo);
         }
+        long next = Math.min(sumsAt, rounds.turn(now, player));
         if (book.log().wantsImage()) {
             book.log().image(book.image());
         }
@@ -501,28 +479,19 @@
         return Math.min(next, keepAlive());
     }
 
-    /**
-     * One round. A module that throws has lost its place: a fresh one begins, as after a restart, after a
-     * pause that keeps a fault that comes back from spinning.
-     */
-    private void round() {
-        List<Consumer<Observer>> told = calls;
-        calls = new ArrayList<>();
-        lastRound = now;
-        long began = System.nanoTime();
-        try {
-            planner.round(now, observer -> told.forEach(call -> call.accept(observer)), turn);
+    /** A module that throws has lost its place: a fresh one begins, as after a restart. */
+    private final class Playing implements Rounds.Player {
+        @Override
+        public void round(Feed feed) {
+            planner.round(now, feed, turn);
             turn.close(now, wallMillis.getAsLong());
-        } catch (RuntimeException e) {
-            counts.plannerFaults++;
-            LOG.error("the decision module failed and begins anew", e);
+        }
+
+        @Override
+        public void faulted(RuntimeException fault) {
+            LOG.error("the decision module failed and begins anew", fault);
             begin("the decision module begins anew");
-            plannerAt = now + PLANNER_PAUSE;
         }
-        long took = System.nanoTime() - began;
-        counts.rounds++;
-        counts.roundNanos += took;
-        counts.worstRound = Math.max(counts.worstRound, took);
     }
 
     private long keepAlive() {
@@ -559,7 +528,7 @@
     public ConductorState state() {
         return ConductorState.of(settings, joined.values(), listed.values(),
                 views.all(), book.drains(), triedAt,
-                turn == null ? List.<NodeId>of() : turn.withdrawn(), channel, counts, storage(), now);
+                turn == null ? List.<NodeId>of() : turn.withdrawn(), channel, counts, rounds, storage(), now);
     }
 
     private ConductorState.Storage storage() {
@@ -725,7 +694,7 @@
 
         @Override
         public void wakeAfter(long nanos) {
-            wakeAt = Math.min(wakeAt, now + nanos);
+            rounds.wakeAt(now + nanos);
         }
 
         @Override
--- a/src/main/java/rosespread/conductor/Inbox.java
+++ b/src/main/java/rosespread/turn/Inbox.java
@@ -1,4 +1,4 @@
-package rosespread.conductor;
+package rosespread.turn;
 
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.LockSupport;
@@ -9,10 +9,10 @@
  * dropped and counted, as newer ones follow; all else waits for room on the thread that brings it, which
  * holds back its sockets.
  */
-final class Inbox {
+public final class Inbox {
     /** Runs on the decision thread. */
     @FunctionalInterface
-    interface Event {
+    public interface Event {
         void at(long now);
     }
 
@@ -25,14 +25,14 @@
     private volatile boolean sleeping;
     private volatile boolean closed;
 
-    void put(Event event) {
+    public void put(Event event) {
         while (!closed && !queue.offer(event)) {
             LockSupport.parkNanos(PAUSE);
         }
         wake();
     }
 
-    void putReport(Event event) {
+    public void putReport(Event event) {
         if (!queue.offerIfBelowThreshold(event, ROOM / 2)) {
             dropped.increment();
         }
@@ -45,12 +45,12 @@
         }
     }
 
-    long reportsDropped() {
+    public long reportsDropped() {
         return dropped.sum();
     }
 
     /** Nothing is taken any more; those who wait for room go on. */
-    void close() {
+    public void close() {
         closed = true;
     }
 
--- a/src/test/java/rosespread/ArchitectureTest.java
+++ b/src/test/java/rosespread/ArchitectureTest.java
@@ -22,8 +22,10 @@
                 "release|release api", "channel|channel api",
                 "http|http",
                 "settings|settings api",
-        "list|list http api", "adapter|adapter api .",
-                "conductor|conductor api channel http table store drain list settings release .",
+        "list|list http api", "launch|launch api", "turn|turn api", "resp|resp",
+        "adapter|adapter launch api .",
+        "platform|platform resp launch turn list http api .",
+                "conductor|conductor turn api channel http table store drain list settings release .",
         "control|control audit conductor http settings release",
                 "standin|standin channel http api list table",
         "rehearse|rehearse standin http channel settings api"})
