--- a/src/main/java/rosespread/adapter/Adapter.java
+++ b/src/main/java/rosespread/adapter/Adapter.java
@@ -13,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
+import rosespread.launch.Fields;
+import rosespread.launch.LaunchException;
 
 /** Speaks the simulator's wire: a batch a line in, a reply a line out, for as many conductors as it names. */
 public final class Adapter {
@@ -36,13 +38,13 @@
                 out.flush();
             } catch (JsonProcessingException e) {
                 throw new WireException("line " + number + " is not a batch: " + e.getOriginalMessage());
-            } catch (WireException e) {
+            } catch (LaunchException e) {
                 throw new WireException("line " + number + " is not a batch: " + e.getMessage());
             }
         }
     }
 
-    private ByteArrayOutputStream answer(String line) throws IOException, WireException {
+    private ByteArrayOutputStream answer(String line) throws IOException, LaunchException {
         Fields batch = Fields.of("the line", parse(line));
         long now = batch.nanos("simTime");
         Map<Integer, Conductor> concerned = new TreeMap<>();
@@ -74,7 +76,7 @@
     }
 
     /** An event of a conductor that has not been launched is passed over: nobody is there to hear it. */
-    private void take(Fields event, Map<Integer, Conductor> concerned) throws WireException {
+    private void take(Fields event, Map<Integer, Conductor> concerned) throws LaunchException {
         int id = event.integer("conductorId");
         switch (event.text("msg")) {
             case "Launch" -> {
--- a/src/main/java/rosespread/adapter/Conductor.java
+++ b/src/main/java/rosespread/adapter/Conductor.java
@@ -13,6 +13,9 @@
 import rosespread.api.Observer;
 import rosespread.api.ProxyId;
 import rosespread.api.ZoneId;
+import rosespread.launch.Fields;
+import rosespread.launch.LaunchException;
+import rosespread.launch.Names;
 
 /** One conductor of the process: turns its events into calls on its own decision module. */
 final class Conductor {
@@ -21,7 +24,7 @@
     private final Names names;
     private final List<Consumer<Observer>> calls = new ArrayList<>();
 
-    Conductor(int id, Fields launch) throws WireException {
+    Conductor(int id, Fields launch) throws LaunchException {
         this.id = id;
         Fields info = launch.object("info");
         this.names = new Names(info);
@@ -29,7 +32,7 @@
     }
 
     /** Decodes one event; one of an unknown name is passed over. */
-    void take(Fields event) throws WireException {
+    void take(Fields event) throws LaunchException {
         switch (event.text("msg")) {
             case "Topology" -> takeList(event);
             case "Attached" -> {
@@ -69,7 +72,7 @@
             }
             case "PingResult" -> {
                 NodeId node = node(event);
-                Observer.Verdict verdict = Names.verdict(event.text("verdict"));
+                Observer.Verdict verdict = Words.verdict(event.text("verdict"));
                 calls.add(observer -> observer.probed(node, verdict));
             }
             case "Wakeup" -> calls.add(Observer::woke);
@@ -77,12 +80,12 @@
         }
     }
 
-    private void takeList(Fields event) throws WireException {
-        Observer.ListKind kind = Names.listKind(event.text("kind"));
+    private void takeList(Fields event) throws LaunchException {
+        Observer.ListKind kind = Words.listKind(event.text("kind"));
         calls.add(observer -> observer.listBegins(kind));
         for (Fields entry : event.objects("elements")) {
             NodeId node = node(entry);
-            Observer.NodeState state = Names.state(entry.text("lifecycle"));
+            Observer.NodeState state = Words.state(entry.text("lifecycle"));
             var machine = names.kind(entry.text("kind", ""));
             ZoneId zone = names.zone(entry.text("zone", ""));
             double weight = entry.number("w", 1);
@@ -107,11 +110,11 @@
         }
     }
 
-    private static ProxyId proxy(Fields event) throws WireException {
+    private static ProxyId proxy(Fields event) throws LaunchException {
         return new ProxyId(event.integer("clientLb"));
     }
 
-    private static NodeId node(Fields event) throws WireException {
+    private static NodeId node(Fields event) throws LaunchException {
         return new NodeId(event.whole("node"));
     }
 }
--- a/src/main/java/rosespread/adapter/Steps.java
+++ b/src/main/java/rosespread/adapter/Steps.java
@@ -8,15 +8,10 @@
 import rosespread.api.Orders;
 import rosespread.api.ProxyId;
 import rosespread.api.TableId;
+import rosespread.launch.Names;
 
 /** Writes a conductor's orders as the wire's actions. */
 final class Steps implements Orders {
-    /** Stands for a level without bound, far above what a proxy can meet. */
-    private static final double ALL = 1e6;
-
-    /** The wire's name for a further try only after proof that the first never ran. */
-    private static final int AFTER_PROOF = 1;
-
     private final int conductor;
     private final JsonGenerator reply;
 
@@ -74,8 +69,8 @@
     @Override
     public void level(TableId table, MethodId method, double admitted) {
         step("Admit", () -> {
-            reply.writeNumberField("letIn", Math.min(admitted, ALL));
-            reply.writeNumberField("secondTry", AFTER_PROOF);
+            reply.writeNumberField("letIn", Math.min(admitted, Names.UNBOUNDED_LEVEL));
+            reply.writeNumberField("secondTry", Names.RETRY_AFTER_PROOF);
             reply.writeNumberField("tbl", table.value());
             reply.writeNumberField("classBits", 1L << method.value());
         });
--- a/src/main/java/rosespread/adapter/Fields.java
+++ b/src/main/java/rosespread/launch/Fields.java
@@ -1,4 +1,4 @@
-package rosespread.adapter;
+package rosespread.launch;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /** A JSON object as it was read, with a plain complaint where a field lacks or is of another type. */
-final class Fields {
+public final class Fields {
     private static final double SECOND = 1e9;
 
     private final String what;
@@ -21,7 +21,7 @@
     }
 
     /** Reads the value at which the parser stands, whole. */
-    static Object read(JsonParser parser) throws IOException {
+    public static Object read(JsonParser parser) throws IOException {
         switch (parser.currentToken()) {
             case START_OBJECT:
                 Map<String, Object> object = new LinkedHashMap<>();
@@ -52,32 +52,32 @@
         }
     }
 
-    static Fields of(String what, Object value) throws WireException {
+    public static Fields of(String what, Object value) throws LaunchException {
         if (value instanceof Map<?, ?> map) {
             return new Fields(what, map);
         }
-        throw new WireException(what + " is not an object");
+        throw new LaunchException(what + " is not an object");
     }
 
-    boolean has(String key) {
+    public boolean has(String key) {
         return values.get(key) != null;
     }
 
-    Fields object(String key) throws WireException {
+    public Fields object(String key) throws LaunchException {
         return of(what + "." + key, need(key));
     }
 
-    List<?> array(String key) throws WireException {
+    public List<?> array(String key) throws LaunchException {
         if (!has(key)) {
             return List.of();
         }
         if (values.get(key) instanceof List<?> list) {
             return list;
         }
-        throw new WireException(what + "." + key + " is not an array");
+        throw new LaunchException(what + "." + key + " is not an array");
     }
 
-    List<Fields> objects(String key) throws WireException {
+    public List<Fields> objects(String key) throws LaunchException {
         List<Fields> all = new ArrayList<>();
         for (Object value : array(key)) {
             all.add(of(what + "." + key + " entry", value));
@@ -85,77 +85,77 @@
         return all;
     }
 
-    List<Fields> requiredObjects(String key) throws WireException {
+    public List<Fields> requiredObjects(String key) throws LaunchException {
         need(key);
         return objects(key);
     }
 
-    String text(String key) throws WireException {
+    public String text(String key) throws LaunchException {
         if (need(key) instanceof String text) {
             return text;
         }
-        throw new WireException(what + "." + key + " is not a string");
+        throw new LaunchException(what + "." + key + " is not a string");
     }
 
-    String text(String key, String absent) throws WireException {
+    public String text(String key, String absent) throws LaunchException {
         return has(key) ? text(key) : absent;
     }
 
-    boolean flag(String key) throws WireException {
+    public boolean flag(String key) throws LaunchException {
         return has(key) && flagOf(need(key), key);
     }
 
     /** The flag at a place of an array; false beyond its end. */
-    boolean flagAt(String key, int place) throws WireException {
+    boolean flagAt(String key, int place) throws LaunchException {
         List<?> all = array(key);
         return place < all.size() && flagOf(all.get(place), key);
     }
 
-    private boolean flagOf(Object value, String key) throws WireException {
+    private boolean flagOf(Object value, String key) throws LaunchException {
         if (value instanceof Boolean flag) {
             return flag;
         }
-        throw new WireException(what + "." + key + " is not true or false");
+        throw new LaunchException(what + "." + key + " is not true or false");
     }
 
-    double number(String key) throws WireException {
+    public double number(String key) throws LaunchException {
         if (need(key) instanceof Number number) {
             return number.doubleValue();
         }
-        throw new WireException(what + "." + key + " is not a number");
+        throw new LaunchException(what + "." + key + " is not a number");
     }
 
-    double number(String key, double absent) throws WireException {
+    public double number(String key, double absent) throws LaunchException {
         return has(key) ? number(key) : absent;
     }
 
-    int integer(String key) throws WireException {
+    public int integer(String key) throws LaunchException {
         return (int) whole(key);
     }
 
-    int integer(String key, int absent) throws WireException {
+    public int integer(String key, int absent) throws LaunchException {
         return has(key) ? integer(key) : absent;
     }
 
-    long whole(String key) throws WireException {
+    public long whole(String key) throws LaunchException {
         if (need(key) instanceof Number number) {
             return number.longValue();
         }
-        throw new WireException(what + "." + key + " is not a number");
+        throw new LaunchException(what + "." + key + " is not a number");
     }
 
-    long nanos(String key) throws WireException {
+    public long nanos(String key) throws LaunchException {
         return Math.round(number(key) * SECOND);
     }
 
-    long nanos(String key, long absent) throws WireException {
+    public long nanos(String key, long absent) throws LaunchException {
         return has(key) ? nanos(key) : absent;
     }
 
-    private Object need(String key) throws WireException {
+    private Object need(String key) throws LaunchException {
         Object value = values.get(key);
         if (value == null) {
-            throw new WireException(what + " lacks \"" + key + "\"");
+            throw new LaunchException(what + " lacks \"" + key + "\"");
         }
         return value;
     }
--- a/src/main/java/rosespread/adapter/Names.java
+++ b/src/main/java/rosespread/launch/Names.java
@@ -1,26 +1,33 @@
-package rosespread.adapter;
+package rosespread.launch;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.IntFunction;
 import rosespread.api.KindId;
 import rosespread.api.MethodId;
-import rosespread.api.Observer;
 import rosespread.api.Settings;
 import rosespread.api.ZoneId;
 
 /** The names that one conductor's settings give, and the settings themselves; names end here. */
-final class Names {
+public final class Names {
+    /** Stands for a level without bound, far above what a proxy can meet. */
+    public static final double UNBOUNDED_LEVEL = 1e6;
+    /** How a further try is told that comes only after proof that the first never ran. */
+    public static final int RETRY_AFTER_PROOF = 1;
+
     private final Map<String, Integer> zones = new TreeMap<>();
     private final Map<String, Integer> kinds = new TreeMap<>();
     private final Map<String, Integer> methods = new TreeMap<>();
+    private final List<String> methodNames = new ArrayList<>();
+    private final int namedZones;
     private final int utilization;
 
-    Names(Fields info) throws WireException {
+    public Names(Fields info) throws LaunchException {
         for (Object zone : info.array("azs")) {
             zones.putIfAbsent(String.valueOf(zone), zones.size());
         }
@@ -29,65 +36,52 @@
         }
         for (Fields method : info.requiredObjects("profiles")) {
             methods.put(method.text("name"), methods.size());
+            methodNames.add(method.text("name"));
         }
+        namedZones = zones.size();
         utilization = info.has("report") ? info.object("report").array("columns").indexOf("utilization") : -1;
     }
 
     /** A name that the settings lack gets the next number. */
-    ZoneId zone(String name) {
+    public ZoneId zone(String name) {
         zones.putIfAbsent(name, zones.size());
         return new ZoneId(zones.get(name));
     }
 
-    KindId kind(String name) {
+    public KindId kind(String name) {
         kinds.putIfAbsent(name, kinds.size());
         return new KindId(kinds.get(name));
     }
 
-    MethodId method(String name) throws WireException {
+    public MethodId method(String name) throws LaunchException {
         Integer place = methods.get(name);
         if (place == null) {
-            throw new WireException("no method \"" + name + "\" among the settings");
+            throw new LaunchException("no method \"" + name + "\" among the settings");
         }
         return new MethodId(place);
     }
 
-    double utilization(Fields event) throws WireException {
-        List<?> report = event.array("report");
-        boolean told = utilization >= 0 && utilization < report.size();
-        return told && report.get(utilization) instanceof Number value ? value.doubleValue() : Double.NaN;
+    /** Whether the settings name this zone, unlike one that only a list brought. */
+    public boolean namesZone(String name) {
+        return zones.containsKey(name) && zones.get(name) < namedZones;
     }
 
-    static Observer.Verdict verdict(String name) {
-        return switch (name) {
-            case "delivered" -> Observer.Verdict.OK;
-            case "shed" -> Observer.Verdict.PUSHED_BACK;
-            case "expired" -> Observer.Verdict.TIMED_OUT;
-            case "dial_failed", "dropped" -> Observer.Verdict.UNREACHABLE;
-            default -> Observer.Verdict.ABORTED;
-        };
+    public Optional<MethodId> findMethod(String name) {
+        return Optional.ofNullable(methods.get(name)).map(MethodId::new);
     }
 
-    static Observer.ListKind listKind(String name) throws WireException {
-        return switch (name) {
-            case "Partial" -> Observer.ListKind.CHANGES;
-            case "Complete" -> Observer.ListKind.WHOLE;
-            case "Persisted" -> Observer.ListKind.REMEMBERED;
-            case "Error" -> Observer.ListKind.UNAVAILABLE;
-            default -> throw new WireException("no list is of kind \"" + name + "\"");
-        };
+    /** Names of the methods, in the order of their places. */
+    public List<String> methodNames() {
+        return List.copyOf(methodNames);
     }
 
-    static Observer.NodeState state(String name) throws WireException {
-        return switch (name) {
-            case "ready" -> Observer.NodeState.READY;
-            case "draining" -> Observer.NodeState.DRAINING;
-            case "gone" -> Observer.NodeState.GONE;
-            default -> throw new WireException("no node is \"" + name + "\"");
-        };
+    public double utilization(Fields event) throws LaunchException {
+        List<?> report = event.array("report");
+        boolean told = utilization >= 0 && utilization < report.size();
+        return told && report.get(utilization) instanceof Number value ? value.doubleValue() : Double.NaN;
     }
 
-    Settings settings(Fields info) throws WireException {
+    public Settings settings(Fields info) throws LaunchException {
         Fields domain = info.object("domain");
         Fields rules = info.object("contract");
         Fields limits = info.object("policyLimits");
@@ -116,7 +110,7 @@
                 rules.nanos("overloadFor"));
     }
 
-    private Settings.Method method(Fields method, boolean ownZone) throws WireException {
+    private Settings.Method method(Fields method, boolean ownZone) throws LaunchException {
         return new Settings.Method(
                 method.number("importance"),
                 places(method, "onlyKinds", name -> kind(name).value(), KindId::new),
@@ -129,7 +123,7 @@
     }
 
     private static <T> Set<T> places(Fields method, String key, Place place, IntFunction<T> id)
-            throws WireException {
+            throws LaunchException {
         Set<T> all = new TreeSet<>();
         for (Object name : method.array(key)) {
             all.add(id.apply(place.of(String.valueOf(name))));
