--- a/src/main/java/rosespread/cli/Main.java
+++ b/src/main/java/rosespread/cli/Main.java
@@ -15,16 +15,19 @@
         exitCodeList = {"0:done; for a rehearsal, all rules kept", "1:it failed while running",
             "2:bad input, named with its place", "3:a rehearsal broke a rule"},
         footer = {"", "Example: rosespread rehearse bad-day --seed 7"},
-        subcommands = {Main.AdapterCommand.class, ConductorCommand.class, TableCommand.class,
+        subcommands = {Main.AdapterCommand.class, ServeCommand.class, ConductorCommand.class, TableCommand.class,
             FleetCommand.class, AuditCommand.class, StandinCommand.class, RehearseCommand.class})
 public final class Main {
     private Main() { }
 
-    /** The adapter is started often and by a program, so it goes past the reading of arguments. */
+    /** The adapter and serve are started often and by programs, so they go past the reading of arguments. */
     public static void main(String[] args) {
         if (args.length == 1 && args[0].equals("adapter")) {
             System.exit(adapter());
         }
+        if (args.length == 1 && args[0].equals("serve")) {
+            System.exit(ServeCommand.serve());
+        }
         System.exit(run(args));
     }
 
--- /dev/null
+++ b/src/main/java/rosespread/platform/Addresses.java
@@ -0,0 +1,20 @@
+package rosespread.platform;
+
+import java.net.InetSocketAddress;
+import rosespread.launch.LaunchException;
+
+/** Addresses as the platform writes them; always figures, as there are no names to look up. */
+final class Addresses {
+    private Addresses() { }
+
+    static InetSocketAddress read(String field, String text) throws LaunchException {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        String port = text.substring(colon + 1);
+        if (!host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}") || !port.matches("[0-9]{1,5}")
+                || Integer.parseInt(port) < 1 || Integer.parseInt(port) > 65_535) {
+            throw new LaunchException(field + " \"" + text + "\" is not like 10.0.0.4:3000");
+        }
+        return new InetSocketAddress(host, Integer.parseInt(port));
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/Counts.java
@@ -0,0 +1,33 @@
+package rosespread.platform;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+
+/** What happened at the sockets since the start; written by any thread. */
+final class Counts {
+    final LongAdder opened = new LongAdder();
+    final LongAdder strangersClosed = new LongAdder();
+    final LongAdder evicted = new LongAdder();
+    final LongAdder rejected = new LongAdder();
+    final LongAdder garbled = new LongAdder();
+    private final Map<SpoiltException.Reason, LongAdder> dropped = new EnumMap<>(SpoiltException.Reason.class);
+
+    Counts() {
+        for (SpoiltException.Reason reason : SpoiltException.Reason.values()) {
+            dropped.put(reason, new LongAdder());
+        }
+    }
+
+    void drop(SpoiltException.Reason reason) {
+        dropped.get(reason).increment();
+    }
+
+    /** Messages dropped by reason, those that occurred. */
+    String drops() {
+        return dropped.entrySet().stream().filter(e -> e.getValue().sum() > 0)
+                .map(e -> e.getKey().name().toLowerCase(java.util.Locale.ROOT) + ":" + e.getValue().sum())
+                .collect(Collectors.joining(","));
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/DiscoveryWatch.java
@@ -0,0 +1,137 @@
+package rosespread.platform;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import rosespread.http.HttpClient;
+import rosespread.http.HttpHeaders;
+import rosespread.http.HttpMessage;
+import rosespread.launch.LaunchException;
+
+/**
+ * Follows discovery: the whole list first, then a watch that is asked for anew as soon as it is answered, from
+ * the I/O thread, so that it goes on. A call that fails, is silent past its wait or brings what is no list
+ * is made again soon; the list that is held stays.
+ */
+final class DiscoveryWatch implements AutoCloseable {
+    /** Called on I/O and timer threads; must not block. */
+    interface Ears {
+        void list(TargetList list);
+
+        void unavailable(String why);
+    }
+
+    /** How long a watch may wait there: short, so that a connection gone silent is soon seen to be. */
+    private static final long WAIT_MILLIS = 1_000;
+    /** What an answer may take beyond that. */
+    private static final long SILENT_MILLIS = 700;
+    /** Pauses after failures, doubled up to the most, with jitter. */
+    private static final long FIRST_PAUSE = 20_000_000L;
+    private static final long MOST_PAUSE = 320_000_000L;
+    private static final int MOST_DOUBLINGS = 4;
+
+    private final HttpClient http;
+    private final ScheduledExecutorService timer;
+    private final RandomGenerator random;
+    private final Ears ears;
+    private InetSocketAddress at;
+    private long version = -1;
+    private int failures;
+    private boolean closed;
+    private Call open;
+
+    DiscoveryWatch(HttpClient http, ScheduledExecutorService timer, RandomGenerator random, Ears ears) {
+        this.http = http;
+        this.timer = timer;
+        this.random = random;
+        this.ears = ears;
+    }
+
+    /** Follows discovery there from now on; what was asked elsewhere is given up. */
+    synchronized void follow(InetSocketAddress address) {
+        at = address;
+        version = -1;
+        failures = 0;
+        if (open != null) {
+            open.cancel.run();
+        }
+        ask();
+    }
+
+    @Override
+    public synchronized void close() {
+        closed = true;
+    }
+
+    private void ask() {
+        if (closed) {
+            return;
+        }
+        boolean whole = version < 0;
+        String target = whole ? "/api/targets"
+                : "/api/targets?since=" + version + "&timeout_ms=" + WAIT_MILLIS;
+        HttpMessage.Call call = new HttpMessage.Call("GET", target,
+                HttpHeaders.of("host", at.getHostString() + ":" + at.getPort()), new byte[0]);
+        long millis = SILENT_MILLIS + (whole ? 0 : WAIT_MILLIS);
+        Call next = new Call();
+        open = next;
+        next.cancel = http.call(at, call, TimeUnit.MILLISECONDS.toNanos(millis), next);
+    }
+
+    /** One call; what comes of it after another has been made is not heard. */
+    private final class Call implements HttpClient.Taker {
+        private Runnable cancel = () -> { };
+
+        @Override
+        public void answered(HttpMessage.Answer answer) {
+            if (answer.status() != 200) {
+                failed("status " + answer.status());
+                return;
+            }
+            try {
+                take(this, TargetList.parse(answer.body()));
+            } catch (LaunchException e) {
+                failed(e.getMessage());
+            }
+        }
+
+        @Override
+        public void failed(HttpClient.Failure failure, String detail) {
+            failed(failure + ": " + detail);
+        }
+
+        private void failed(String why) {
+            DiscoveryWatch.this.failed(this, why);
+        }
+    }
+
+    /** A version that went back without the whole list leaves it unknown what is held: all is asked for. */
+    private synchronized void take(Call call, TargetList list) {
+        if (call != open || closed) {
+            return;
+        }
+        failures = 0;
+        version = !list.full() && list.version() < version ? -1 : list.version();
+        ask();
+        ears.list(list);
+    }
+
+    private synchronized void failed(Call call, String why) {
+        if (call != open || closed) {
+            return;
+        }
+        open = null;
+        long pause = Math.min(MOST_PAUSE, FIRST_PAUSE << Math.min(failures, MOST_DOUBLINGS));
+        failures++;
+        ears.unavailable(why);
+        InetSocketAddress asked = at;
+        timer.schedule(() -> again(asked), pause / 2 + random.nextLong(pause), TimeUnit.NANOSECONDS);
+    }
+
+    private synchronized void again(InetSocketAddress asked) {
+        if (open == null && asked.equals(at)) {
+            ask();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/MessageReader.java
@@ -0,0 +1,168 @@
+package rosespread.platform;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rosespread.api.MethodId;
+import rosespread.api.ProxyId;
+import rosespread.api.ZoneId;
+import rosespread.launch.Names;
+import rosespread.platform.SpoiltException.Reason;
+
+/**
+ * Reads the platform's messages: first the kind, then names and values in turn. Each is checked whole before
+ * anything of it is used. Fields that are not known are passed over.
+ */
+final class MessageReader {
+    /** What a load report calls the busy share of a node's cores. */
+    private static final String UTILIZATION = "util";
+    /** Bounds that no true figure comes near: counts of one report, times, rates, a share of cores. */
+    private static final int MOST_COUNT = 10_000_000;
+    private static final double MOST_MILLIS = 600_000, MOST_RATE = 1e7, MOST_SHARE = 16, MOST_LOAD = 1e9;
+    private static final double NANOS = 1e6;
+
+    private final Names names;
+    private final int proxies;
+
+    MessageReader(Names names, int proxies) {
+        this.names = names;
+        this.proxies = proxies;
+    }
+
+    Message read(List<String> words) throws SpoiltException {
+        String kind = words.get(0);
+        if (kind.equals("hb")) {
+            return new Message.Heartbeat();
+        }
+        Words in = new Words(words);
+        return switch (kind) {
+            case "telemetry" -> new Message.Collector(in.zone());
+            case "attach" -> new Message.Join(in.proxy(), in.zone(), in.number("w", 0, MOST_RATE),
+                    in.flag("cold"));
+            case "done" -> new Message.Done(in.proxy(), in.whole("nonce", 0, 65_535),
+                    Math.round(in.number("latency", 0, MOST_MILLIS) * NANOS));
+            case "upstream_stats" -> in.sums();
+            case "client_stats" -> in.offered();
+            default -> throw new SpoiltException(Reason.KIND, "a message of kind \"" + shown(kind) + "\"");
+        };
+    }
+
+    private static String shown(String text) {
+        return text.substring(0, Math.min(20, text.length())).replaceAll("[^\\x20-\\x7e]", "?");
+    }
+
+    private final class Words {
+        private final Map<String, String> fields = new HashMap<>();
+
+        Words(List<String> words) throws SpoiltException {
+            if (words.size() % 2 == 0) {
+                throw new SpoiltException(Reason.PAIRS, "a name without a value");
+            }
+            for (int i = 1; i < words.size(); i += 2) {
+                if (fields.put(words.get(i), words.get(i + 1)) != null) {
+                    throw new SpoiltException(Reason.PAIRS, shown(words.get(i)) + " is told twice");
+                }
+            }
+        }
+
+        private String text(String field) throws SpoiltException {
+            String text = fields.get(field);
+            if (text == null) {
+                throw new SpoiltException(Reason.MISSING, field + " is missing");
+            }
+            return text;
+        }
+
+        private double number(String field, double least, double most) throws SpoiltException {
+            return number(field, text(field), least, most);
+        }
+
+        /** Plain figures only: what Java takes beyond them, such as NaN or 0x1p3, is no number here. */
+        private double number(String field, String text, double least, double most) throws SpoiltException {
+            if (!text.matches("[+-]?([0-9]{1,18}(\\.[0-9]{0,18})?|\\.[0-9]{1,18})([eE][+-]?[0-9]{1,3})?")) {
+                throw new SpoiltException(Reason.TYPE, field + " \"" + shown(text) + "\" is not a number");
+            }
+            double value = Double.parseDouble(text);
+            if (!(value >= least && value <= most)) {
+                throw new SpoiltException(Reason.RANGE, field + " " + shown(text) + " is out of range");
+            }
+            return value;
+        }
+
+        private int whole(String field, int least, int most) throws SpoiltException {
+            double value = number(field, least, most);
+            if (value != Math.rint(value)) {
+                throw new SpoiltException(Reason.TYPE, field + " is not a whole number");
+            }
+            return (int) value;
+        }
+
+        private boolean flag(String field) throws SpoiltException {
+            return whole(field, 0, 1) == 1;
+        }
+
+        private ZoneId zone() throws SpoiltException {
+            String zone = text("locality");
+            if (!names.namesZone(zone)) {
+                throw new SpoiltException(Reason.UNKNOWN, "no zone \"" + shown(zone) + "\"");
+            }
+            return names.zone(zone);
+        }
+
+        private ProxyId proxy() throws SpoiltException {
+            int proxy = whole("node", 0, Integer.MAX_VALUE);
+            if (proxy >= proxies) {
+                throw new SpoiltException(Reason.UNKNOWN, "no proxy " + proxy);
+            }
+            return new ProxyId(proxy);
+        }
+
+        private long covers() throws SpoiltException {
+            double millis = number("interval", 0, MOST_MILLIS);
+            if (millis == 0) {
+                throw new SpoiltException(Reason.RANGE, "interval is 0");
+            }
+            return Math.round(millis * NANOS);
+        }
+
+        private Message sums() throws SpoiltException {
+            String node = text("endpoint");
+            ZoneId zone = zone();
+            int tries = whole("total", 0, MOST_COUNT);
+            int unanswered = whole("errors", 0, MOST_COUNT);
+            if (unanswered > tries) {
+                throw new SpoiltException(Reason.RANGE, "more errors than tries");
+            }
+            double millis = fields.containsKey("rtt") || tries > unanswered
+                    ? number("rtt", 0, MOST_MILLIS) : 0;
+            double latency = tries > unanswered && millis > 0 ? millis / 1e3 : Double.NaN;
+            return new Message.Sums(node, zone, tries, unanswered, latency, covers(), utilization());
+        }
+
+        private double utilization() throws SpoiltException {
+            double found = Double.NaN;
+            String metrics = fields.getOrDefault("metrics", "");
+            for (String pair : metrics.isEmpty() ? new String[0] : metrics.split(",", -1)) {
+                int colon = pair.indexOf(':');
+                if (colon < 1) {
+                    throw new SpoiltException(Reason.TYPE, "metrics \"" + shown(pair) + "\" is not a pair");
+                }
+                String name = pair.substring(0, colon);
+                boolean told = name.equals(UTILIZATION);
+                double value = number("metrics", pair.substring(colon + 1), 0, told ? MOST_SHARE : MOST_LOAD);
+                found = told ? value : found;
+            }
+            return found;
+        }
+
+        private Message offered() throws SpoiltException {
+            ProxyId proxy = proxy();
+            String route = text("route");
+            MethodId method = names.findMethod(route).orElseThrow(() ->
+                    new SpoiltException(Reason.UNKNOWN, "no method \"" + shown(route) + "\""));
+            int count = whole("total", 0, MOST_COUNT);
+            whole("errors", 0, MOST_COUNT);
+            return new Message.Offered(proxy, method, count, covers());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/Peer.java
@@ -0,0 +1,36 @@
+package rosespread.platform;
+
+import org.apache.mina.core.session.IoSession;
+import rosespread.api.ProxyId;
+import rosespread.api.ZoneId;
+
+/** One connection and who is at its other end. Written by its I/O thread only. */
+final class Peer implements Wire {
+    enum Role { STRANGER, COLLECTOR, PROXY }
+
+    final IoSession session;
+    final long openedAt;
+    volatile Role role = Role.STRANGER;
+    ZoneId zone;
+    ProxyId proxy;
+
+    Peer(IoSession session, long openedAt) {
+        this.session = session;
+        this.openedAt = openedAt;
+    }
+
+    @Override
+    public void write(byte[] message) {
+        session.write(message);
+    }
+
+    @Override
+    public long unwritten() {
+        return session.getScheduledWriteBytes();
+    }
+
+    @Override
+    public void close() {
+        session.closeNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -0,0 +1,310 @@
+package rosespread.platform;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rosespread.Brain;
+import rosespread.api.Feed;
+import rosespread.api.NodeId;
+import rosespread.api.Observer;
+import rosespread.api.ProxyId;
+import rosespread.api.ZoneId;
+import rosespread.turn.Rounds;
+
+/**
+ * The conductor's state on the decision thread: who is joined by which stream, what is listed, and the module.
+ * Everything here is called from that thread only.
+ */
+final class PlatformCore {
+    /** What it needs of the outside. */
+    interface World {
+        void probe(NodeId node, Target target);
+
+        /** What one second showed at the sockets and of the process. */
+        String seen();
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformCore.class);
+    private static final long SECOND = 1_000_000_000L;
+    /** A stream that leaves so much unread is of no use, and what waits for it must not grow. */
+    private static final long UNWRITTEN_MOST = 512L << 10;
+    private static final int MARKS_MOST = 1024;
+    /** Marks of one module are told apart from those of the one before, on the same stream. */
+    private static final int MARKS_APART = 8192;
+
+    private final PlatformConfig config;
+    private final World world;
+    private final Counts counts;
+    private final long wallOffset;
+    private final Rounds rounds = new Rounds();
+    private final Rounds.Player player = new Playing();
+    private final NodeNames nodes = new NodeNames();
+    private final PartWriter writer;
+    private final Map<NodeId, Target> listed = new TreeMap<>();
+    private final TreeSet<NodeId> restless = new TreeSet<>();
+    private final Map<ProxyId, Stream> streams = new TreeMap<>();
+    private final Map<ZoneId, Long> reports = new TreeMap<>();
+    private Brain brain;
+    private RoundOrders orders;
+    private int begun;
+    private long now;
+    private long seenAt;
+    private long messages;
+    private long bytes;
+    private long strayAnswers;
+
+    private static final class Stream {
+        final Wire wire;
+        final Message.Join join;
+        final Map<Integer, Long> marks = new LinkedHashMap<>();
+
+        Stream(Wire wire, Message.Join join) {
+            this.wire = wire;
+            this.join = join;
+        }
+    }
+
+    /**
+     * @param wallOffset what is added to nanoseconds of the wall clock to have the module's time; fixed, so
+     *     that a start always comes out the same
+     */
+    PlatformCore(PlatformConfig config, World world, Counts counts, long wallOffset) {
+        this.config = config;
+        this.world = world;
+        this.counts = counts;
+        this.wallOffset = wallOffset;
+        this.writer = new PartWriter(config.names(), nodes);
+        list(Observer.ListKind.REMEMBERED, config.known());
+        begin();
+    }
+
+    /** A fresh module, told what is held: the list and who is joined. */
+    private void begin() {
+        brain = new Brain(config.settings(), new SplittableRandom(config.seed() + begun));
+        begun++;
+        orders = new RoundOrders(config.settings().methods().size(), restless::contains, new Asking());
+        rounds.begin();
+        tellList(Observer.ListKind.REMEMBERED, listed);
+        streams.values().forEach(stream -> tellJoin(stream.join));
+    }
+
+    // ---- the list ----
+
+    void list(long time, TargetList list) {
+        now = time;
+        list(list.full() ? Observer.ListKind.WHOLE : Observer.ListKind.CHANGES, list);
+    }
+
+    private void list(Observer.ListKind kind, TargetList list) {
+        boolean whole = kind != Observer.ListKind.CHANGES;
+        if (!whole && list.targets().isEmpty()) {
+            return;
+        }
+        Map<NodeId, Target> told = new TreeMap<>();
+        list.targets().forEach(target -> told.put(nodes.give(target.name()), target));
+        if (whole) {
+            listed.keySet().stream().filter(id -> !told.containsKey(id)).forEach(restless::add);
+            listed.clear();
+        }
+        told.forEach((id, target) -> {
+            if (target.state() == Observer.NodeState.GONE) {
+                listed.remove(id);
+            } else {
+                listed.put(id, target);
+            }
+            if (target.state() != Observer.NodeState.READY || target.startedMillis() > 0) {
+                restless.add(id);
+            }
+        });
+        tellList(kind, told);
+        LOG.info("list {} version {}: {} told, {} listed, {} draining", kind, list.version(), told.size(),
+                listed.size(), listed.values().stream()
+                        .filter(target -> target.state() == Observer.NodeState.DRAINING).count());
+    }
+
+    private void tellList(Observer.ListKind kind, Map<NodeId, Target> told) {
+        rounds.add(observer -> observer.listBegins(kind));
+        told.forEach((id, target) -> {
+            long started = target.startedMillis() == 0 ? Long.MIN_VALUE
+                    : target.startedMillis() * 1_000_000 + wallOffset;
+            rounds.add(observer -> observer.node(id, config.names().kind(target.kind()),
+                    config.names().zone(target.zone()), target.weight(), target.state(), started));
+        });
+        rounds.add(Observer::listEnds);
+    }
+
+    /** The module is told only where the settings say that it asks for the list. */
+    void listUnavailable() {
+        if (config.settings().listOnDemand()) {
+            rounds.add(observer -> observer.listBegins(Observer.ListKind.UNAVAILABLE));
+            rounds.add(Observer::listEnds);
+        }
+    }
+
+    void probed(NodeId node, Observer.Verdict verdict) {
+        rounds.add(observer -> observer.probed(node, verdict));
+    }
+
+    // ---- streams ----
+
+    /** A new stream of a proxy replaces the old one, whose own end may come later or never. */
+    void joined(long time, Wire wire, Message.Join join) {
+        now = time;
+        Stream old = streams.put(join.proxy(), new Stream(wire, join));
+        if (old != null) {
+            old.wire.close();
+        }
+        orders.joined(join.proxy());
+        tellJoin(join);
+        LOG.info("proxy {} joined{}{}", join.proxy().value(), join.fresh() ? ", fresh" : "",
+                old == null ? "" : ", in place of its old stream");
+    }
+
+    private void tellJoin(Message.Join join) {
+        orders.joined(join.proxy());
+        rounds.add(observer -> observer.proxyJoined(join.proxy(), join.zone(), join.rate()));
+    }
+
+    void closed(long time, Wire wire) {
+        now = time;
+        streams.values().stream().filter(stream -> stream.wire == wire).findFirst().ifPresent(stream -> {
+            ProxyId proxy = stream.join.proxy();
+            streams.remove(proxy);
+            orders.left(proxy);
+            rounds.add(observer -> observer.proxyLeft(proxy));
+            LOG.info("proxy {} left", proxy.value());
+        });
+    }
+
+    /** Counts only on the stream that carried the mark. */
+    void done(long time, Wire wire, Message.Done done) {
+        now = time;
+        Stream stream = streams.get(done.proxy());
+        if (stream == null || stream.wire != wire || stream.marks.remove(done.ticket()) == null) {
+            strayAnswers++;
+            return;
+        }
+        int mark = done.ticket() - begun * MARKS_APART & 0xFFFF;
+        rounds.add(observer -> observer.installed(done.proxy(), mark, done.took()));
+    }
+
+    // ---- reports ----
+
+    void sums(long time, Message.Sums sums) {
+        now = time;
+        NodeId node = nodes.find(sums.node()).orElse(null);
+        if (node == null) {
+            counts.drop(SpoiltException.Reason.UNKNOWN);
+            return;
+        }
+        reports.merge(sums.zone(), 1L, Long::sum);
+        rounds.add(observer -> observer.sums(node, sums.zone(), sums.tries(), sums.unanswered(),
+                sums.latency(), sums.covers(), sums.utilization()));
+    }
+
+    void offered(long time, Message.Offered offered) {
+        now = time;
+        rounds.add(observer ->
+                observer.offered(offered.proxy(), offered.method(), offered.count(), offered.covers()));
+    }
+
+    // ---- rounds ----
+
+    /** Plays a round if one is due; returns when to come back. */
+    long turn(long time) {
+        now = time;
+        if (now - seenAt >= SECOND) {
+            seenAt = now;
+            LOG.info("{}", seen());
+        }
+        return Math.min(rounds.turn(now, player), seenAt + SECOND);
+    }
+
+    private String seen() {
+        long open = streams.values().stream().mapToLong(stream -> stream.marks.size()).sum();
+        long oldest = streams.values().stream().flatMap(stream -> stream.marks.values().stream())
+                .mapToLong(at -> now - at).max().orElse(0);
+        List<String> zones = new ArrayList<>();
+        reports.forEach((zone, count) -> zones.add(zone.value() + ":" + count));
+        return "joined " + streams.size() + " bound " + orders.bound() + " withdrawn " + orders.withdrawn()
+                + " listed " + listed.size() + " rounds " + rounds.played() + " worst "
+                + rounds.worstNanos() / 1000 + " us messages " + messages + " bytes " + bytes + " marks "
+                + open + " oldest " + oldest / 1_000_000 + " ms stray " + strayAnswers + " reports "
+                + String.join(",", zones) + " drops " + counts.drops() + " " + world.seen();
+    }
+
+    /** A module that throws has lost its place: a fresh one begins, as after a restart. */
+    private final class Playing implements Rounds.Player {
+        @Override
+        public void round(Feed feed) {
+            brain.round(now, feed, orders);
+            Map<List<Part>, byte[]> written = new LinkedHashMap<>();
+            orders.close((proxy, parts, mark) -> send(proxy, parts, mark, written));
+        }
+
+        @Override
+        public void faulted(RuntimeException fault) {
+            LOG.error("the decision module failed and begins anew", fault);
+            begin();
+        }
+    }
+
+    /** Proxies that get the same parts share the bytes. */
+    private void send(ProxyId proxy, List<Part> parts, int mark, Map<List<Part>, byte[]> written) {
+        Stream stream = streams.get(proxy);
+        int ticket = mark < 0 ? -1 : mark + begun * MARKS_APART & 0xFFFF;
+        byte[] message = written.computeIfAbsent(parts, p -> writer.bytes(p, ticket));
+        if (stream.wire.unwritten() > UNWRITTEN_MOST) {
+            LOG.warn("proxy {} takes nothing: its stream is ended", proxy.value());
+            stream.wire.close();
+            return;
+        }
+        if (ticket >= 0) {
+            if (stream.marks.size() >= MARKS_MOST) {
+                stream.marks.remove(stream.marks.keySet().iterator().next());
+            }
+            stream.marks.put(ticket, now);
+        }
+        messages++;
+        bytes += message.length;
+        stream.wire.write(message);
+    }
+
+    private final class Asking implements RoundOrders.Besides {
+        @Override
+        public void probe(NodeId node) {
+            Target target = listed.get(node);
+            if (target != null) {
+                world.probe(node, target);
+            }
+        }
+
+        /** Discovery is followed from the start on, so there is nothing to begin. */
+        @Override
+        public void followList() { }
+
+        @Override
+        public void wakeAfter(long nanos) {
+            rounds.wakeAt(now + nanos);
+        }
+
+        @Override
+        public void log(String line) {
+            LOG.info("{}", named(line));
+        }
+    }
+
+    /** The module speaks of nodes by number; whoever reads the log knows them by name. */
+    private String named(String line) {
+        String[] words = line.split(" ", 3);
+        boolean node = words.length == 3 && words[0].equals("node") && words[1].matches("[0-9]{1,18}");
+        return node ? "node " + nodes.name(new NodeId(Long.parseLong(words[1]))) + " " + words[2] : line;
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/RoundOrders.java
@@ -0,0 +1,262 @@
+package rosespread.platform;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import rosespread.api.MethodId;
+import rosespread.api.NodeId;
+import rosespread.api.Orders;
+import rosespread.api.ProxyId;
+import rosespread.api.TableId;
+
+/**
+ * Turns a round's orders into one message for each proxy concerned. Pure: it knows the tables as ordered, who
+ * is bound to what, and whom a node may be shut out at. The platform has no tables of ours: what a proxy holds
+ * is written to it for the methods concerned, with changes against what was last written on its stream.
+ */
+final class RoundOrders implements Orders {
+    /** What the module asks for besides messages. */
+    interface Besides {
+        void probe(NodeId node);
+
+        void followList();
+
+        void wakeAfter(long nanos);
+
+        void log(String line);
+    }
+
+    /** Takes a proxy's message of the round; {@code mark} is negative if none was ordered. */
+    @FunctionalInterface
+    interface Sink {
+        void message(ProxyId proxy, List<Part> parts, int mark);
+    }
+
+    private static final class Table {
+        final Map<NodeId, Double> lines = new TreeMap<>();
+        final Map<MethodId, Double> levels = new TreeMap<>();
+        final Map<NodeId, Double> changed = new TreeMap<>();
+        final Map<MethodId, Double> changedLevels = new TreeMap<>();
+    }
+
+    private static final class Held {
+        final Map<TableId, List<MethodId>> bound = new TreeMap<>();
+        final TreeSet<TableId> whole = new TreeSet<>();
+        /** Nodes that were shut out on this stream; and those that surely are not, from whenever. */
+        final TreeSet<NodeId> out = new TreeSet<>();
+        final TreeSet<NodeId> in = new TreeSet<>();
+    }
+
+    private final int methods;
+    private final Predicate<NodeId> restless;
+    private final Besides besides;
+    private final Map<TableId, Table> tables = new TreeMap<>();
+    private final Map<ProxyId, Held> proxies = new TreeMap<>();
+    private final Map<NodeId, Boolean> shut = new LinkedHashMap<>();
+    private final TreeSet<NodeId> withdrawn = new TreeSet<>();
+    private int mark = -1;
+
+    /**
+     * @param methods how many there are
+     * @param restless whether a node ever left or started anew, so that some conductor may have shut it out
+     */
+    RoundOrders(int methods, Predicate<NodeId> restless, Besides besides) {
+        this.methods = methods;
+        this.restless = restless;
+        this.besides = besides;
+    }
+
+    /** A stream begins: whatever the proxy holds, it is bound to no table here. */
+    void joined(ProxyId proxy) {
+        proxies.put(proxy, new Held());
+    }
+
+    void left(ProxyId proxy) {
+        proxies.remove(proxy);
+    }
+
+    int bound() {
+        return (int) proxies.values().stream().filter(held -> !held.bound.isEmpty()).count();
+    }
+
+    int withdrawn() {
+        return withdrawn.size();
+    }
+
+    @Override
+    public void line(TableId table, NodeId node, double weight) {
+        Table of = table(table);
+        if (weight > 0) {
+            of.lines.put(node, weight);
+        } else {
+            of.lines.remove(node);
+        }
+        of.changed.put(node, weight);
+    }
+
+    @Override
+    public void bind(ProxyId proxy, Iterable<MethodId> methods, TableId table) {
+        Held held = proxies.get(proxy);
+        if (held == null) {
+            return;
+        }
+        List<MethodId> all = new ArrayList<>();
+        methods.forEach(all::add);
+        held.bound.put(table, List.copyOf(all));
+        held.whole.add(table);
+    }
+
+    @Override
+    public void withdraw(NodeId node, boolean out) {
+        shut.put(node, out);
+        if (out) {
+            withdrawn.add(node);
+        } else {
+            withdrawn.remove(node);
+        }
+    }
+
+    @Override
+    public void level(TableId table, MethodId method, double admitted) {
+        Table of = table(table);
+        of.levels.put(method, admitted);
+        of.changedLevels.put(method, admitted);
+    }
+
+    @Override
+    public void mark(int mark) {
+        this.mark = mark;
+    }
+
+    @Override
+    public void probe(NodeId node) {
+        besides.probe(node);
+    }
+
+    @Override
+    public void followList() {
+        besides.followList();
+    }
+
+    @Override
+    public void wakeAfter(long nanos) {
+        besides.wakeAfter(nanos);
+    }
+
+    @Override
+    public void log(String line) {
+        besides.log(line);
+    }
+
+    private Table table(TableId id) {
+        return tables.computeIfAbsent(id, fresh -> new Table());
+    }
+
+    /** Ends the round: hands out each proxy's message, and forgets what was particular to the round. */
+    void close(Sink sink) {
+        Map<List<MethodId>, Map<TableId, List<Part>>> changes = new LinkedHashMap<>();
+        proxies.forEach((proxy, held) -> {
+            List<Part> parts = new ArrayList<>();
+            held.bound.forEach((id, bound) -> {
+                if (held.whole.contains(id)) {
+                    parts.addAll(whole(table(id), bound));
+                } else {
+                    parts.addAll(changes.computeIfAbsent(bound, b -> new TreeMap<>())
+                            .computeIfAbsent(id, t -> changed(table(id), bound)));
+                }
+            });
+            Part shutting = shutting(held);
+            if (shutting != null) {
+                parts.add(shutting);
+            }
+            held.whole.clear();
+            if (!parts.isEmpty()) {
+                sink.message(proxy, parts, mark);
+            }
+        });
+        tables.values().forEach(table -> {
+            table.changed.clear();
+            table.changedLevels.clear();
+        });
+        shut.clear();
+        mark = -1;
+    }
+
+    private List<Part> whole(Table table, List<MethodId> bound) {
+        return parts(true, table.lines, table.levels, bound);
+    }
+
+    private List<Part> changed(Table table, List<MethodId> bound) {
+        return parts(false, table.changed, table.changedLevels, bound);
+    }
+
+    /** Lines first; a level that all share goes with them, others follow, as a whole table forgets levels. */
+    private List<Part> parts(boolean whole, Map<NodeId, Double> lines, Map<MethodId, Double> levels,
+            List<MethodId> bound) {
+        Map<Double, List<MethodId>> byLevel = new LinkedHashMap<>();
+        for (MethodId method : bound) {
+            Double level = levels.get(method);
+            if (level != null && !(whole && Double.isInfinite(level))) {
+                byLevel.computeIfAbsent(level, l -> new ArrayList<>()).add(method);
+            }
+        }
+        List<Part> parts = new ArrayList<>();
+        boolean shared = byLevel.size() == 1 && byLevel.values().iterator().next().size() == bound.size();
+        if (whole || !lines.isEmpty() || shared) {
+            parts.add(new Part(named(bound), whole, new TreeMap<>(lines),
+                    shared ? byLevel.keySet().iterator().next() : Double.NaN, List.of(), List.of()));
+        }
+        if (!shared) {
+            byLevel.forEach((level, of) -> parts.add(
+                    new Part(named(of), false, Map.of(), level, List.of(), List.of())));
+        }
+        return parts;
+    }
+
+    /** All methods are told by naming none. */
+    private List<MethodId> named(List<MethodId> some) {
+        return some.size() == methods ? List.of() : List.copyOf(some);
+    }
+
+    /**
+     * Who hears of nodes shut out: a bound proxy whose tables name the node, and each that is not bound yet,
+     * as it may hold it. Let back are all that were told, and those whose table names the node by now: a proxy
+     * brings what another conductor shut out there, which can only be nodes that left or started anew.
+     */
+    private Part shutting(Held held) {
+        List<NodeId> out = new ArrayList<>();
+        List<NodeId> back = new ArrayList<>();
+        shut.forEach((node, isOut) -> {
+            if (isOut && (held.bound.isEmpty() || names(held, node))) {
+                out.add(node);
+                held.out.add(node);
+                held.in.remove(node);
+            } else if (!isOut && held.out.contains(node)) {
+                back.add(node);
+                held.out.remove(node);
+                held.in.add(node);
+            }
+        });
+        for (Map.Entry<TableId, List<MethodId>> bound : held.bound.entrySet()) {
+            Table table = table(bound.getKey());
+            for (NodeId node : held.whole.contains(bound.getKey()) ? table.lines.keySet()
+                    : table.changed.keySet()) {
+                boolean maybe = held.out.contains(node) || restless.test(node) && !held.in.contains(node);
+                if (table.lines.containsKey(node) && maybe && !withdrawn.contains(node)) {
+                    back.add(node);
+                    held.out.remove(node);
+                    held.in.add(node);
+                }
+            }
+        }
+        return out.isEmpty() && back.isEmpty() ? null : Part.shut(List.copyOf(out), List.copyOf(back));
+    }
+
+    private boolean names(Held held, NodeId node) {
+        return held.bound.keySet().stream().anyMatch(id -> table(id).lines.containsKey(node));
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/StreamServer.java
@@ -0,0 +1,231 @@
+package rosespread.platform;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.filter.codec.ProtocolCodecFilter;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import rosespread.resp.RespCodec;
+import rosespread.resp.RespLimits;
+import rosespread.resp.RespWriter;
+import rosespread.turn.Inbox;
+
+/**
+ * Where proxies and collectors connect, and strangers too. Who has not joined holds little and not for long;
+ * near the limit of sockets the one that has waited longest goes first, so that a proxy finds room.
+ */
+final class StreamServer implements AutoCloseable {
+    private static final String PEER = "peer";
+    /** Bounds of a message before joining, and after. */
+    private static final RespLimits STRANGER = new RespLimits(4 << 10, 64);
+    private static final RespLimits JOINED = new RespLimits(1 << 20, 256);
+    /** How long a connection may take to join. */
+    private static final long JOIN_WITHIN = 1_000_000_000L;
+    private static final long FULL_PAUSE = 2_000_000L;
+    private static final byte[] ALIVE = RespWriter.bytes(List.of("hb_ok"));
+
+    private final Acceptor acceptor = new Acceptor();
+    private final Inbox inbox;
+    private final PlatformCore core;
+    private final MessageReader reader;
+    private final Counts counts;
+    private final AtomicInteger open = new AtomicInteger();
+    private final Set<Peer> strangers = new LinkedHashSet<>();
+    private volatile int most;
+
+    /** @param most how many connections may be open at once */
+    StreamServer(Inbox inbox, PlatformCore core, MessageReader reader, Counts counts, int most) {
+        this.inbox = inbox;
+        this.core = core;
+        this.reader = reader;
+        this.counts = counts;
+        this.most = most;
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(1024);
+        acceptor.getSessionConfig().setTcpNoDelay(true);
+        acceptor.getSessionConfig().setReadBufferSize(2048);
+        acceptor.getSessionConfig().setMaxReadBufferSize(8192);
+        acceptor.getFilterChain().addLast("resp", new ProtocolCodecFilter(new RespCodec(STRANGER)));
+        acceptor.setHandler(new Sessions());
+    }
+
+    InetSocketAddress listen(InetSocketAddress address) throws IOException {
+        acceptor.bind(address);
+        return acceptor.getLocalAddress();
+    }
+
+    void mostOpen(int next) {
+        most = next;
+    }
+
+    int open() {
+        return open.get();
+    }
+
+    /** Closes those that had their time to join. */
+    void sweep(long now) {
+        List<Peer> late = new ArrayList<>();
+        synchronized (strangers) {
+            for (Iterator<Peer> all = strangers.iterator(); all.hasNext();) {
+                Peer peer = all.next();
+                if (now - peer.openedAt < JOIN_WITHIN) {
+                    break;
+                }
+                all.remove();
+                late.add(peer);
+            }
+        }
+        counts.strangersClosed.add(late.size());
+        late.forEach(Peer::close);
+    }
+
+    private void evictOldest() {
+        Peer oldest = null;
+        synchronized (strangers) {
+            Iterator<Peer> all = strangers.iterator();
+            if (all.hasNext()) {
+                oldest = all.next();
+                all.remove();
+            }
+        }
+        if (oldest != null) {
+            counts.evicted.increment();
+            oldest.close();
+        }
+    }
+
+    private void known(Peer peer) {
+        synchronized (strangers) {
+            strangers.remove(peer);
+        }
+    }
+
+    @Override
+    public void close() {
+        acceptor.unbind();
+        acceptor.dispose(false);
+    }
+
+    /** Takes no connection over the limit: those wait in the backlog until one that has not joined is gone. */
+    private final class Acceptor extends NioSocketAcceptor {
+        Acceptor() {
+            super(1);
+        }
+
+        @Override
+        protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle)
+                throws Exception {
+            if (open.get() >= most) {
+                evictOldest();
+                LockSupport.parkNanos(FULL_PAUSE);
+                if (open.get() >= most) {
+                    return null;
+                }
+            }
+            NioSession session = super.accept(processor, handle);
+            if (session != null) {
+                open.incrementAndGet();
+                session.getCloseFuture().addListener(future -> open.decrementAndGet());
+            }
+            return session;
+        }
+    }
+
+    private final class Sessions extends IoHandlerAdapter {
+        @Override
+        public void sessionOpened(IoSession session) {
+            Peer peer = new Peer(session, System.nanoTime());
+            session.setAttribute(PEER, peer);
+            counts.opened.increment();
+            synchronized (strangers) {
+                strangers.add(peer);
+            }
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            Peer peer = (Peer) session.getAttribute(PEER);
+            if (session.isClosing()) {
+                return;
+            }
+            try {
+                @SuppressWarnings("unchecked")
+                List<String> words = (List<String>) message;
+                take(peer, reader.read(words));
+            } catch (SpoiltException e) {
+                counts.drop(e.reason());
+                if (peer.role == Peer.Role.STRANGER) {
+                    reject(peer, e.getMessage());
+                }
+            }
+        }
+
+        private void take(Peer peer, Message message) throws SpoiltException {
+            if (message instanceof Message.Heartbeat) {
+                peer.write(ALIVE);
+            } else if (message instanceof Message.Collector collector && peer.role == Peer.Role.STRANGER) {
+                peer.zone = collector.zone();
+                joined(peer, Peer.Role.COLLECTOR);
+            } else if (message instanceof Message.Join join && peer.role == Peer.Role.STRANGER) {
+                peer.proxy = join.proxy();
+                joined(peer, Peer.Role.PROXY);
+                inbox.put(now -> core.joined(now, peer, join));
+            } else if (message instanceof Message.Done done && done.proxy().equals(peer.proxy)) {
+                inbox.put(now -> core.done(now, peer, done));
+            } else if (message instanceof Message.Offered offered && (peer.role == Peer.Role.COLLECTOR
+                    || offered.proxy().equals(peer.proxy))) {
+                inbox.putReport(now -> core.offered(now, offered));
+            } else if (message instanceof Message.Sums sums && peer.role == Peer.Role.COLLECTOR) {
+                inbox.putReport(now -> core.sums(now, sums));
+            } else {
+                throw new SpoiltException(SpoiltException.Reason.PLACE, "this has no place here");
+            }
+        }
+
+        private void joined(Peer peer, Peer.Role role) {
+            peer.role = role;
+            known(peer);
+            RespCodec.limit(peer.session, JOINED);
+        }
+
+        /** One word why, then the end; what still comes is not read. */
+        private void reject(Peer peer, String why) {
+            counts.rejected.increment();
+            known(peer);
+            peer.session.suspendRead();
+            peer.write(RespWriter.bytes(List.of("reject", "reason", why)));
+            peer.session.closeOnFlush();
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            Peer peer = (Peer) session.getAttribute(PEER);
+            known(peer);
+            if (peer.role == Peer.Role.PROXY) {
+                inbox.put(now -> core.closed(now, peer));
+            }
+        }
+
+        /** Bytes that can't be read, or a connection that broke: of no further use either way. */
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            for (Throwable at = cause; at != null; at = at.getCause()) {
+                if (at instanceof rosespread.resp.RespException) {
+                    counts.garbled.increment();
+                }
+            }
+            session.closeNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/Target.java
@@ -0,0 +1,12 @@
+package rosespread.platform;
+
+import java.net.InetSocketAddress;
+import rosespread.api.Observer.NodeState;
+
+/**
+ * A node as discovery has it.
+ *
+ * @param startedMillis wall clock of its last start, 0 if long ago
+ */
+record Target(String name, InetSocketAddress address, String zone, String kind, double weight,
+        NodeState state, long startedMillis) { }
--- /dev/null
+++ b/src/main/java/rosespread/platform/TargetList.java
@@ -0,0 +1,57 @@
+package rosespread.platform;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import rosespread.api.Observer.NodeState;
+import rosespread.launch.Fields;
+import rosespread.launch.LaunchException;
+
+/** One answer of discovery: the whole list, or the entries that changed since an earlier version. */
+record TargetList(long version, boolean full, List<Target> targets) {
+    private static final int MOST = 100_000;
+
+    /** @throws LaunchException if it is no such answer; names line and column, or entry and field */
+    static TargetList parse(byte[] body) throws LaunchException {
+        return read(Json.object("the answer", body));
+    }
+
+    static TargetList read(Fields list) throws LaunchException {
+        long version = list.whole("version");
+        List<Target> targets = new ArrayList<>();
+        List<Fields> entries = list.requiredObjects("servers");
+        if (entries.size() > MOST) {
+            throw new LaunchException("servers has over " + MOST + " entries");
+        }
+        for (int i = 0; i < entries.size(); i++) {
+            try {
+                targets.add(target(entries.get(i)));
+            } catch (LaunchException e) {
+                throw new LaunchException("entry " + i + " of servers: " + e.getMessage());
+            }
+        }
+        return new TargetList(version, list.flag("full"), List.copyOf(targets));
+    }
+
+    private static Target target(Fields entry) throws LaunchException {
+        String name = entry.text("id");
+        if (name.isEmpty() || name.length() > 255 || name.matches(".*[,:+\\s].*")) {
+            throw new LaunchException("id \"" + name + "\" can't be written in an order");
+        }
+        NodeState state = switch (entry.text("state")) {
+            case "SERVING" -> NodeState.READY;
+            case "DRAINING" -> NodeState.DRAINING;
+            case "DELETED" -> NodeState.GONE;
+            default -> throw new LaunchException("state \"" + entry.text("state") + "\" is not known");
+        };
+        double weight = entry.number("weight", 1);
+        long started = entry.has("started_ms") ? (long) entry.number("started_ms") : 0;
+        if (!(weight >= 0) || Double.isInfinite(weight) || started < 0) {
+            throw new LaunchException("weight or started_ms is out of range");
+        }
+        InetSocketAddress address = state == NodeState.GONE && !entry.has("addr") ? null
+                : Addresses.read("addr", entry.text("addr"));
+        return new Target(name, address, entry.text("zone", ""), entry.text("kind", ""), weight, state,
+                started);
+    }
+}
--- /dev/null
+++ b/src/main/java/rosespread/platform/Wire.java
@@ -0,0 +1,11 @@
+package rosespread.platform;
+
+/** A proxy's stream as the decision thread sees it; nothing here blocks. */
+interface Wire {
+    void write(byte[] message);
+
+    /** Bytes that the peer has not taken yet. */
+    long unwritten();
+
+    void close();
+}
