Load reports read by the names seen on the sockets; shedding only where nodes say they are busy

Lines at fault: MessageReader.utilization. Cause: judgeLoad held offered RPCs, repeats among them, against an able rate that is learned slowly after a restart; shedding fed on its own repeats.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -62,6 +62,8 @@
     private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, LEVEL_FALLS = 0.75;
     private static final double SHED_FROM = 0.88, SHED_UNTIL = 0.78;
+    /** However much is offered, shedding starts only where nodes are so busy, and ends where they are not. */
+    private static final double SHED_BUSY = 0.72, SHED_IDLE = 0.55;
 
     private final Settings settings;
     private final RandomGenerator random;
@@ -235,7 +237,7 @@
         double skill = 1;
         final TreeMap<ZoneId, Rate> answered = new TreeMap<>();
         final TreeMap<ZoneId, Rate> tried = new TreeMap<>();
-        Rate load, latency;
+        Rate load, latency, busy;
         long answeredAt = NEVER;
         Sum tries, unanswered;
         boolean sick;
@@ -269,6 +271,7 @@
             tried.clear();
             load = new Rate(WINDOW_REPORTS);
             latency = new Rate(WINDOW_REPORTS);
+            busy = new Rate(DEMAND_REPORTS);
             tries = new Sum(HEALTH_WINDOW);
             unanswered = new Sum(HEALTH_WINDOW);
             sick = false;
@@ -450,6 +453,7 @@
                     .add(tries - unanswered, seconds);
             if (!Double.isNaN(utilization)) {
                 node.load.add(utilization * seconds, seconds);
+                node.busy.add(utilization * seconds, seconds);
             }
             if (!Double.isNaN(latency)) {
                 node.latency.add(latency * seconds, seconds);
@@ -991,12 +995,29 @@
         }
     }
 
+    /**
+     * How busy the nodes say they are by now, by size; NaN if none ever tells. Warm ones not heard count as
+     * idle: guards against the first few reports after a start, which may come from the busiest.
+     */
+    private double busy() {
+        List<Node> warm = ready().stream().filter(n -> !n.cold()).toList();
+        return warm.stream().noneMatch(n -> n.busy.known()) ? Double.NaN
+                : warm.stream().mapToDouble(n -> n.busy.perSecond() * n.size()).sum() / size(warm, false);
+    }
+
+    /**
+     * What is offered counts repeats of what was pushed back, and grows at once where proxies come from
+     * another conductor, while what nodes can do is learned slowly: shedding would bring about the load that
+     * it is meant for and go on by itself. Guards against that by what the nodes say of themselves; it sheds
+     * late where their reports are late.
+     */
     private void judgeLoad() {
         double offered = of(0).stream().mapToDouble(this::demand).sum();
         double able = able();
         double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
         boolean shed = settings.throttle() != Settings.Throttle.NONE
-                && ratio > (shedding ? SHED_UNTIL : SHED_FROM);
+                && ratio > (shedding ? SHED_UNTIL : SHED_FROM)
+                && !(busy() < (shedding ? SHED_IDLE : SHED_BUSY));
         if (shed != shedding) {
             shedding = shed;
             orders.log((shed ? "shedding: offered " : "shedding ends: offered ") + figure(offered)
--- a/src/main/java/rosespread/platform/MessageReader.java
+++ b/src/main/java/rosespread/platform/MessageReader.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import rosespread.api.MethodId;
 import rosespread.api.ProxyId;
 import rosespread.api.ZoneId;
@@ -14,8 +15,11 @@
  * anything of it is used. Fields that are not known are passed over.
  */
 final class MessageReader {
-    /** What a load report calls the busy share of a node's cores. */
-    private static final String UTILIZATION = "util";
+    /**
+     * What a load report calls the busy share of a node's cores: the platform's page writes it short, while
+     * its collectors were seen to send the names that the settings give their columns.
+     */
+    private static final Set<String> UTILIZATION = Set.of("util", "utilization");
     /** Bounds that no true figure comes near: counts of one report, times, rates, a share of cores. */
     private static final int MOST_COUNT = 10_000_000;
     private static final double MOST_MILLIS = 600_000, MOST_RATE = 1e7, MOST_SHARE = 16, MOST_LOAD = 1e9;
@@ -141,14 +145,14 @@
 
         private double utilization() throws SpoiltException {
             double found = Double.NaN;
-            String metrics = fields.getOrDefault("metrics", "");
-            for (String pair : metrics.isEmpty() ? new String[0] : metrics.split(",", -1)) {
+            String metrics = fields.get("metrics");
+            for (String pair : metrics == null ? new String[0] : metrics.split(",", -1)) {
                 int colon = pair.indexOf(':');
                 if (colon < 1) {
                     throw new SpoiltException(Reason.TYPE, "metrics \"" + shown(pair) + "\" is not a pair");
                 }
                 String name = pair.substring(0, colon);
-                boolean told = name.equals(UTILIZATION);
+                boolean told = UTILIZATION.contains(name);
                 double value = number("metrics", pair.substring(colon + 1), 0, told ? MOST_SHARE : MOST_LOAD);
                 found = told ? value : found;
             }
--- a/src/main/java/rosespread/platform/PlatformConductor.java
+++ b/src/main/java/rosespread/platform/PlatformConductor.java
@@ -119,6 +119,7 @@
                 LOG.info("discovery moves from {} to {}", config.discovery(), next.discovery());
                 watch.follow(next.discovery());
             }
+            LOG.info("the new configuration was read");
             server.mostOpen(most(next));
             if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())) {
                 LOG.warn("settings or the address to listen on changed: taken at the next start");
--- a/src/main/java/rosespread/platform/PlatformCore.java
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -59,6 +59,7 @@
     private long messages;
     private long bytes;
     private long strayAnswers;
+    private final Heard heard = new Heard();
 
     private static final class Stream {
         final Wire wire;
@@ -205,12 +206,14 @@
             return;
         }
         reports.merge(sums.zone(), 1L, Long::sum);
+        heard.sums(sums);
         rounds.add(observer -> observer.sums(node, sums.zone(), sums.tries(), sums.unanswered(),
                 sums.latency(), sums.covers(), sums.utilization()));
     }
 
     void offered(long time, Message.Offered offered) {
         now = time;
+        heard.offered(offered);
         rounds.add(observer ->
                 observer.offered(offered.proxy(), offered.method(), offered.count(), offered.covers()));
     }
@@ -237,7 +240,7 @@
                 + " listed " + listed.size() + " rounds " + rounds.played() + " worst "
                 + rounds.worstNanos() / 1000 + " us messages " + messages + " bytes " + bytes + " marks "
                 + open + " oldest " + oldest / 1_000_000 + " ms stray " + strayAnswers + " reports "
-                + String.join(",", zones) + " drops " + counts.drops() + " " + world.seen();
+                + String.join(",", zones) + " drops " + counts.drops() + " " + heard.read() + " " + world.seen();
     }
 
     /** A module that throws has lost its place: a fresh one begins, as after a restart. */
--- /dev/null
+++ b/src/test/java/rosespread/platform/DiscoveryStandin.java
@@ -0,0 +1,74 @@
+package rosespread.platform;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import rosespread.http.HttpLimits;
+import rosespread.http.HttpMessage;
+import rosespread.http.HttpServer;
+
+/** Discovery as the platform has it: a whole list, and a watch that waits for the next change. */
+final class DiscoveryStandin implements AutoCloseable {
+    final List<String> asked = new CopyOnWriteArrayList<>();
+    private final List<HttpServer.Exchange> waiting = new ArrayList<>();
+    private final List<String> nodes = new ArrayList<>();
+    private final HttpServer server;
+    private final InetSocketAddress address;
+    private int version = 1;
+    private String cut = "";
+
+    DiscoveryStandin(String... nodes) throws IOException {
+        this.nodes.addAll(List.of(nodes));
+        server = new HttpServer(1, HttpLimits.USUAL, this::take);
+        address = server.listen(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+    }
+
+    String address() {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    InetSocketAddress at() {
+        return address;
+    }
+
+    /** The next answer is this text, whatever was asked. */
+    synchronized void nextIs(String text) {
+        cut = text;
+    }
+
+    private synchronized void take(HttpMessage.Call call, HttpServer.Exchange exchange) {
+        asked.add(call.target());
+        if (!cut.isEmpty()) {
+            exchange.answer(HttpMessage.Answer.json(200, cut));
+            cut = "";
+        } else if (call.target().contains("since=" + version)) {
+            waiting.add(exchange);
+        } else {
+            exchange.answer(list(!call.target().contains("since="), nodes));
+        }
+    }
+
+    private HttpMessage.Answer list(boolean full, List<String> entries) {
+        return HttpMessage.Answer.json(200, "{\"version\":" + version + ",\"full\":" + full
+                + ",\"servers\":[" + String.join(",", entries) + "]}");
+    }
+
+    /** Tells those who watch. */
+    synchronized void change(String entry) {
+        version++;
+        waiting.forEach(exchange -> exchange.answer(list(false, List.of(entry))));
+        waiting.clear();
+    }
+
+    synchronized boolean watched() {
+        return !waiting.isEmpty();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/rosespread/platform/ServeTest.java
@@ -0,0 +1,238 @@
+package rosespread.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rosespread.resp.RespException;
+import rosespread.resp.RespLimits;
+import rosespread.resp.RespParser;
+import rosespread.resp.RespWriter;
+
+/** {@code serve} as a process, against small stand-ins of discovery, collectors and proxies on loopback. */
+class ServeTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    @TempDir
+    private Path folder;
+    private DiscoveryStandin discovery;
+    private Process process;
+    private int port;
+    private final List<Peer> peers = new ArrayList<>();
+
+    /** One connection to the conductor: all that it brings is kept. */
+    private static final class Peer {
+        final List<List<String>> heard = new CopyOnWriteArrayList<>();
+        final Socket socket;
+        volatile boolean ended;
+
+        Peer(int port) throws IOException {
+            socket = new Socket("127.0.0.1", port);
+            Thread thread = new Thread(this::read, "peer");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void read() {
+            RespParser parser = new RespParser(new RespLimits(1 << 20, 256), heard::add);
+            byte[] bytes = new byte[4096];
+            try (InputStream in = socket.getInputStream()) {
+                for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+                    parser.feed(ByteBuffer.wrap(bytes, 0, count));
+                }
+            } catch (IOException | RespException e) {
+                heard.add(List.of("broken", String.valueOf(e)));
+            }
+            ended = true;
+        }
+
+        void say(String words) throws IOException {
+            raw(RespWriter.bytes(List.of(words.split(" "))));
+        }
+
+        void raw(byte[] bytes) throws IOException {
+            try {
+                socket.getOutputStream().write(bytes);
+            } catch (SocketException e) {
+                ended = true;
+            }
+        }
+
+        /** The first message with all these words in a row, once it is there. */
+        List<String> hears(String words) {
+            await().atMost(PATIENCE).until(() -> heard.stream().anyMatch(m -> joined(m).contains(words)));
+            return heard.stream().filter(m -> joined(m).contains(words)).findFirst().orElseThrow();
+        }
+
+        private static String joined(List<String> words) {
+            return String.join(" ", words);
+        }
+
+        int ticket(List<String> message) {
+            return Integer.parseInt(message.get(message.indexOf("ticket") + 1));
+        }
+    }
+
+    private Peer peer() throws IOException {
+        Peer peer = new Peer(port);
+        peers.add(peer);
+        return peer;
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        discovery = new DiscoveryStandin(Sample.node("s-1", "SERVING"), Sample.node("s-2", "SERVING"));
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        configure(discovery.address());
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "rosespread.cli.Main", "serve");
+        builder.environment().put("ROUTER_CONFIG", folder.resolve("config.json").toString());
+        process = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        await().atMost(PATIENCE).until(() -> {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                return socket.isConnected();
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    private void configure(String address) throws IOException {
+        Files.writeString(folder.resolve("config.json"), Sample.config("127.0.0.1:" + port, address));
+    }
+
+    @AfterEach
+    void stop() throws IOException, InterruptedException {
+        for (Peer peer : peers) {
+            peer.socket.close();
+        }
+        process.destroyForcibly().waitFor();
+        discovery.close();
+    }
+
+    /** Once the watch stands, as the stand-in tells a change only to those who wait for one. */
+    private void drain(String node) {
+        await().atMost(PATIENCE).until(discovery::watched);
+        discovery.change(Sample.node(node, "DRAINING"));
+    }
+
+    private Peer joined(int proxy) throws IOException {
+        Peer peer = peer();
+        peer.say("attach node " + proxy + " locality a w 5 cold 1");
+        peer.hears("whole 1");
+        return peer;
+    }
+
+    @Test
+    void aProxyJoinsAnswersAndIsToldOfADrain() throws IOException {
+        Peer proxy = joined(3);
+        List<String> whole = proxy.hears("whole 1");
+        assertTrue(whole.contains("ticket") && String.join(" ", whole).contains("s-1:"), whole.toString());
+        proxy.say("done node 3 nonce " + proxy.ticket(whole) + " latency 12.5");
+        Peer collector = peer();
+        collector.say("telemetry locality a");
+        collector.say("upstream_stats locality a endpoint s-1 total 5 errors 9 rtt 3 interval 500");
+        collector.say("upstream_stats locality a endpoint s-1 total 5 errors 0 rtt 3 interval 500 metrics"
+                + " util:0.4");
+        proxy.say("hb");
+        proxy.hears("hb_ok");
+        drain("s-1");
+        proxy.hears("s-1:0");
+        await().atMost(PATIENCE).until(() -> log().contains("drops range:1"));
+        assertEquals(false, collector.ended || proxy.ended);
+    }
+
+    @Test
+    void aNewStreamReplacesTheOldAndItsLateEndTakesNothing() throws IOException {
+        Peer old = joined(3);
+        Peer fresh = joined(3);
+        await().atMost(PATIENCE).until(() -> old.ended);
+        drain("s-2");
+        fresh.hears("s-2:0");
+        assertEquals(false, log().contains("proxy 3 left"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET / HTTP/1.1, false", "*1~$999999999~, false", "*9999999~, false",
+        "*3~$6~attach~$4~node~$2~99~, true", "*3~$6~assign~$3~out~$3~s-1~, true",
+        "*3~$4~done~$4~node~$1~3~, true", "*2~$2~hb~, false", "'', false"})
+    void aBadClientIsToldOrClosedAndAProxyHeedsNothing(String text, boolean told) throws IOException {
+        Peer proxy = joined(4);
+        Peer bad = peer();
+        bad.raw(text.replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII));
+        await().atMost(Duration.ofSeconds(3)).until(() -> bad.ended);
+        assertEquals(told, bad.heard.stream().anyMatch(m -> m.get(0).equals("reject")));
+        proxy.say("hb");
+        proxy.hears("hb_ok");
+    }
+
+    @Test
+    void hundredsOfSilentStrangersLeaveRoomForAProxy() throws IOException {
+        for (int i = 0; i < 400; i++) {
+            peer();
+        }
+        joined(5);
+        assertTrue(process.isAlive());
+    }
+
+    @Test
+    void aNewConfigurationMovesDiscoveryAndAFaultyOneDoesNot() throws Exception {
+        Peer proxy = joined(6);
+        hup();
+        Files.writeString(folder.resolve("config.json"), "{\"name\":");
+        hup();
+        await().atMost(PATIENCE).until(() -> log().contains("is at fault and changes nothing"));
+        try (DiscoveryStandin next = new DiscoveryStandin(Sample.node("s-2", "SERVING"),
+                Sample.node("s-3", "SERVING"))) {
+            configure(next.address());
+            hup();
+            proxy.hears("s-3:");
+            proxy.hears("s-1:0");
+            assertEquals(false, proxy.ended);
+        }
+    }
+
+    @Test
+    void termEndsItSoonAndCleanly() throws Exception {
+        joined(7);
+        process.destroy();
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    private void hup() throws IOException, InterruptedException {
+        await().atMost(PATIENCE).until(() -> log().contains("listens on"));
+        int before = log().length();
+        new ProcessBuilder("/bin/kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        await().atMost(PATIENCE).until(() -> log().substring(before).contains("configuration")
+                || log().substring(before).contains("discovery moves"));
+    }
+
+    private String log() throws IOException {
+        return Files.readString(folder.resolve("log"));
+    }
+}
