--- a/src/main/java/rosespread/platform/Heard.java
+++ b/src/main/java/rosespread/platform/Heard.java
@@ -1,6 +1,9 @@
 package rosespread.platform;
 
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import rosespread.api.NodeId;
 
 /**
  * What reports told since it was last asked: sums of RPCs as they came, before the module makes anything of
@@ -14,7 +17,22 @@
     private double busy;
     private long busyReports;
 
-    void sums(Message.Sums sums) {
+    /** What was met at one node. */
+    private static final class At {
+        long tries;
+        long unanswered;
+        double latency;
+        double busy = Double.NaN;
+    }
+
+    private final Map<NodeId, At> nodes = new TreeMap<>();
+
+    void sums(NodeId node, Message.Sums sums) {
+        At at = nodes.computeIfAbsent(node, fresh -> new At());
+        at.tries += sums.tries();
+        at.unanswered += sums.unanswered();
+        at.latency += Double.isNaN(sums.latency()) ? 0 : sums.latency() * (sums.tries() - sums.unanswered());
+        at.busy = Double.isNaN(sums.utilization()) ? at.busy : sums.utilization();
         reports++;
         tries += sums.tries();
         unanswered += sums.unanswered();
@@ -29,6 +47,13 @@
         offered += told.count();
     }
 
+    /** One node's figures: tries, how many of them unanswered, mean milliseconds, busy share. */
+    String read(NodeId node) {
+        At at = nodes.getOrDefault(node, new At());
+        return String.format(Locale.ROOT, "%d-%d %.0fms %.2f", at.tries, at.unanswered,
+                at.latency / Math.max(1, at.tries - at.unanswered) * 1e3, at.busy);
+    }
+
     /** The figures, and begins anew. */
     String read() {
         String told = String.format(Locale.ROOT, "heard reports %d tries %d unanswered %d offered %d busy %.2f",
@@ -39,6 +64,7 @@
         offered = 0;
         busy = 0;
         busyReports = 0;
+        nodes.clear();
         return told;
     }
 }
--- a/src/main/java/rosespread/platform/PlatformCore.java
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -206,7 +206,7 @@
             return;
         }
         reports.merge(sums.zone(), 1L, Long::sum);
-        heard.sums(sums);
+        heard.sums(node, sums);
         rounds.add(observer -> observer.sums(node, sums.zone(), sums.tries(), sums.unanswered(),
                 sums.latency(), sums.covers(), sums.utilization()));
     }
@@ -225,6 +225,10 @@
         now = time;
         if (now - seenAt >= SECOND) {
             seenAt = now;
+            if (LOG.isDebugEnabled()) {
+                listed.forEach((id, target) -> LOG.debug("node {} {} {} weight {} met {}", target.name(),
+                        target.kind(), target.state(), orders.weight(id), heard.read(id)));
+            }
             LOG.info("{}", seen());
         }
         return Math.min(rounds.turn(now, player), seenAt + SECOND);
--- a/src/main/java/rosespread/platform/RoundOrders.java
+++ b/src/main/java/rosespread/platform/RoundOrders.java
@@ -83,6 +83,12 @@
         return (int) proxies.values().stream().filter(held -> !held.bound.isEmpty()).count();
     }
 
+    /** A node's weight in the first table that names it, 0 if none does. */
+    double weight(NodeId node) {
+        return tables.values().stream().filter(table -> table.lines.containsKey(node))
+                .mapToDouble(table -> table.lines.get(node)).findFirst().orElse(0);
+    }
+
     int withdrawn() {
         return withdrawn.size();
     }
