--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -63,7 +63,7 @@
     private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, LEVEL_FALLS = 0.75;
     private static final double SHED_FROM = 0.88, SHED_UNTIL = 0.78;
     /** However much is offered, shedding starts only where nodes are so busy, and ends where they are not. */
-    private static final double SHED_BUSY = 0.72, SHED_IDLE = 0.55;
+    private static final double SHED_BUSY = 0.6, SHED_IDLE = 0.5;
 
     private final Settings settings;
     private final RandomGenerator random;
@@ -240,7 +240,7 @@
         Rate load, latency, busy;
         long answeredAt = NEVER;
         Sum tries, unanswered;
-        boolean sick;
+        boolean sick, stepped;
         long sickSince;
         long probedAt;
         boolean withdrawn;
@@ -383,7 +383,8 @@
             Node node = nodes.get(id);
             if (node == null) {
                 node = new Node(id);
-                node.skill = Double.isNaN(unit) ? 1 : unitOfKind.getOrDefault(kind, unit) / unit;
+                node.stepped = !Double.isNaN(unit);
+                node.skill = node.stepped ? unitOfKind.getOrDefault(kind, unit) / unit : 1;
                 nodes.put(id, node);
             }
             node.kind = kind;
@@ -505,7 +506,9 @@
         }
         double rate = ready().stream().mapToDouble(n -> perSecond(n.answered)).sum();
         window = WINDOW_ANSWERS * ready().size() / rate * SECOND;
-        if (now >= nextStep) {
+        double heard = ready().stream().flatMap(n -> n.answered.values().stream())
+                .mapToDouble(r -> r.count.read(now)).sum();
+        if (now >= nextStep && heard > PRIOR_ANSWERS * latencyOfKind.size()) {
             nextStep = now + STEP_EVERY;
             if (ready().stream().anyMatch(n -> fresh(n, now))) {
                 double spare = Math.max(0, Math.min(MOST_SLACK, 1 - loadRatio()));
@@ -539,7 +542,9 @@
     }
 
     /**
-     * Steps a weight towards what the node answers for its load, over a part of the gap. Without fresh
+     * Steps a weight towards what the node answers for its load, over a part of the gap; all of it at the
+     * first step of the nodes there at a start, once enough was heard to tell kinds apart: guards against
+     * seconds in which small machines take as much as large ones, and queues that outlast them. Without fresh
      * answers the weight stays: guards against late or missing sums being read as a change of the machine.
      * A node that answers later than its like is not held to be larger than that allows: guards against
      * reports that show less load than there is, and any slowing that utilization hides.
@@ -559,8 +564,10 @@
         }
         double gap = size / (unit * node.size());
         if (Math.abs(gap - 1) > STEP_BAND) {
-            node.skill = Math.max(LEAST_SKILL, Math.min(MOST_SKILL, node.skill * Math.pow(gap, STEP_PART)));
+            double part = node.stepped ? STEP_PART : 1;
+            node.skill = Math.max(LEAST_SKILL, Math.min(MOST_SKILL, node.skill * Math.pow(gap, part)));
         }
+        node.stepped = true;
     }
 
     private boolean fresh(Node node, long at) {
