--- a/src/main/java/rosespread/platform/DiscoveryWatch.java
+++ b/src/main/java/rosespread/platform/DiscoveryWatch.java
@@ -53,8 +53,10 @@
         at = address;
         version = -1;
         failures = 0;
-        if (open != null) {
-            open.cancel.run();
+        Call old = open;
+        open = null;
+        if (old != null) {
+            old.cancel.run();
         }
         ask();
     }
