--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -81,7 +81,7 @@
     private boolean crowded;
     private long nextStep, nextLevel, freeAt;
     private double slack, window;
-    private boolean shedding;
+    private boolean shedding, told;
     private double unit = Double.NaN;
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
 
@@ -342,7 +342,7 @@
         final TreeMap<MethodId, Double> pendingLevels = new TreeMap<>();
         final TreeSet<ProxyId> inFlight = new TreeSet<>();
         long version, flightSequence, sentAt = NEVER;
-        boolean panic, falling;
+        boolean panic, abrupt;
 
         Table(TableId id, int group, Settings.Method like, ZoneId home) {
             this.group = group;
@@ -496,19 +496,19 @@
     private void estimate() {
         ready().forEach(n -> latencyOfKind.put(n.kind, meanLatency(n.kind)));
         double meanLatency = meanLatency(null);
-        double told = unitOf(null, meanLatency);
-        if (!(told > 0)) {
+        double next = unitOf(null, meanLatency);
+        if (!(next > 0)) {
             return;
         }
-        unit = told;
+        unit = next;
         for (KindId kind : latencyOfKind.keySet()) {
-            unitOfKind.merge(kind, unitOf(kind, meanLatency), (old, next) -> next > 0 ? next : old);
+            unitOfKind.merge(kind, unitOf(kind, meanLatency), (old, fresh) -> fresh > 0 ? fresh : old);
         }
         double rate = ready().stream().mapToDouble(n -> perSecond(n.answered)).sum();
         window = WINDOW_ANSWERS * ready().size() / rate * SECOND;
-        double heard = ready().stream().flatMap(n -> n.answered.values().stream())
-                .mapToDouble(r -> r.count.read(now)).sum();
-        if (now >= nextStep && heard > PRIOR_ANSWERS * latencyOfKind.size()) {
+        told = ready().stream().flatMap(n -> n.answered.values().stream())
+                .mapToDouble(r -> r.count.read(now)).sum() > PRIOR_ANSWERS * latencyOfKind.size();
+        if (now >= nextStep && told) {
             nextStep = now + STEP_EVERY;
             if (ready().stream().anyMatch(n -> fresh(n, now))) {
                 double spare = Math.max(0, Math.min(MOST_SLACK, 1 - loadRatio()));
@@ -890,10 +890,11 @@
 
     /**
      * Changes that do not wait for a delivery in flight: a node that left, a cold node still held at a higher
-     * weight (a restart under an old line), a table without a ready node, a level that falls.
+     * weight (a restart under an old line), a table without a ready node, a level that falls or is lifted
+     * (what is pushed back for nothing comes back as repeats).
      */
     private boolean urgent(Table table) {
-        return drained(table) > 0 || table.falling
+        return drained(table) > 0 || table.abrupt
                 || table.laid.keySet().stream().noneMatch(id -> nodes.get(id).ready())
                 || table.pending.keySet().stream().anyMatch(id -> tooHigh(table, id));
     }
@@ -928,7 +929,7 @@
         table.pendingLevels.forEach((method, level) ->
                 orders.level(table.id, method, level));
         table.pendingLevels.clear();
-        table.falling = false;
+        table.abrupt = false;
         table.flightSequence = sequence + 1;
         table.sentAt = now;
         for (Proxy proxy : users(table)) {
@@ -1015,14 +1016,14 @@
     /**
      * What is offered counts repeats of what was pushed back, and grows at once where proxies come from
      * another conductor, while what nodes can do is learned slowly: shedding would bring about the load that
-     * it is meant for and go on by itself. Guards against that by what the nodes say of themselves; it sheds
-     * late where their reports are late.
+     * it is meant for and go on by itself. Guards against that by what the nodes say of themselves, and by
+     * waiting after a start until enough was heard; it sheds late where their reports are late.
      */
     private void judgeLoad() {
         double offered = of(0).stream().mapToDouble(this::demand).sum();
         double able = able();
         double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
-        boolean shed = settings.throttle() != Settings.Throttle.NONE
+        boolean shed = settings.throttle() != Settings.Throttle.NONE && told
                 && ratio > (shedding ? SHED_UNTIL : SHED_FROM)
                 && !(busy() < (shedding ? SHED_IDLE : SHED_BUSY));
         if (shed != shedding) {
@@ -1064,7 +1065,7 @@
     private void commitLevel(Table table, MethodId method, double level) {
         double old = table.levels.getOrDefault(method, Double.POSITIVE_INFINITY);
         if (Double.isInfinite(old) != Double.isInfinite(level) || Math.abs(level - old) > LEVEL_BAND * old) {
-            table.falling |= level < LEVEL_FALLS * old;
+            table.abrupt |= level < LEVEL_FALLS * old || Double.isInfinite(level);
             table.levels.put(method, level);
             table.pendingLevels.put(method, level);
             table.version++;
