--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -804,8 +804,8 @@
     /**
      * Joined proxies and laggards get whole tables, the busiest first, but those that wait for half a grace
      * before all: guards against a proxy that follows another's table, with a node that leaves, for too long.
-     * After a start none is bound for a moment, until it is known what nodes can do or one of them leaves: guards
-     * against good tables of others being replaced by one that holds all nodes alike.
+     * After a start none is bound for a moment, until it is known what nodes can do or one of them leaves:
+     * guards against good tables of others being replaced by one that holds all nodes alike.
      */
     private void bindOwed() {
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
--- a/src/test/java/rosespread/platform/DiscoveryStandin.java
+++ b/src/test/java/rosespread/platform/DiscoveryStandin.java
@@ -6,6 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import rosespread.http.HttpLimits;
 import rosespread.http.HttpMessage;
 import rosespread.http.HttpServer;
@@ -17,6 +20,7 @@
     private final List<String> nodes = new ArrayList<>();
     private final HttpServer server;
     private final InetSocketAddress address;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private int version = 1;
     private String cut = "";
 
@@ -44,8 +48,10 @@
         if (!cut.isEmpty()) {
             exchange.answer(HttpMessage.Answer.json(200, cut));
             cut = "";
-        } else if (call.target().contains("since=" + version)) {
+        } else if (call.target().contains("since=" + version + "&")) {
             waiting.add(exchange);
+            long millis = Long.parseLong(call.target().replaceAll(".*timeout_ms=", ""));
+            timer.schedule(() -> nothingNew(exchange), millis, TimeUnit.MILLISECONDS);
         } else {
             exchange.answer(list(!call.target().contains("since="), nodes));
         }
@@ -56,9 +62,17 @@
                 + ",\"servers\":[" + String.join(",", entries) + "]}");
     }
 
-    /** Tells those who watch. */
+    private synchronized void nothingNew(HttpServer.Exchange exchange) {
+        if (waiting.remove(exchange)) {
+            exchange.answer(list(false, List.of()));
+        }
+    }
+
+    /** Tells those who watch; whoever asks later gets it too. */
     synchronized void change(String entry) {
         version++;
+        nodes.removeIf(node -> node.substring(0, 12).equals(entry.substring(0, 12)));
+        nodes.add(entry);
         waiting.forEach(exchange -> exchange.answer(list(false, List.of(entry))));
         waiting.clear();
     }
@@ -69,6 +83,7 @@
 
     @Override
     public void close() {
+        timer.shutdownNow();
         server.close();
     }
 }
