--- a/src/main/java/rosespread/cli/Main.java
+++ b/src/main/java/rosespread/cli/Main.java
@@ -15,8 +15,9 @@
         exitCodeList = {"0:done; for a rehearsal, all rules kept", "1:it failed while running",
             "2:bad input, named with its place", "3:a rehearsal broke a rule"},
         footer = {"", "Example: rosespread rehearse bad-day --seed 7"},
-        subcommands = {Main.AdapterCommand.class, ServeCommand.class, ConductorCommand.class, TableCommand.class,
-            FleetCommand.class, AuditCommand.class, StandinCommand.class, RehearseCommand.class})
+        subcommands = {Main.AdapterCommand.class, ServeCommand.class, ConductorCommand.class,
+            TableCommand.class, FleetCommand.class, AuditCommand.class, StandinCommand.class,
+            RehearseCommand.class})
 public final class Main {
     private Main() { }
 
--- a/src/main/java/rosespread/platform/Counts.java
+++ b/src/main/java/rosespread/platform/Counts.java
@@ -12,7 +12,8 @@
     final LongAdder evicted = new LongAdder();
     final LongAdder rejected = new LongAdder();
     final LongAdder garbled = new LongAdder();
-    private final Map<SpoiltException.Reason, LongAdder> dropped = new EnumMap<>(SpoiltException.Reason.class);
+    private final Map<SpoiltException.Reason, LongAdder> dropped =
+            new EnumMap<>(SpoiltException.Reason.class);
 
     Counts() {
         for (SpoiltException.Reason reason : SpoiltException.Reason.values()) {
--- a/src/main/java/rosespread/platform/DiscoveryWatch.java
+++ b/src/main/java/rosespread/platform/DiscoveryWatch.java
@@ -10,9 +10,9 @@
 import rosespread.launch.LaunchException;
 
 /**
- * Follows discovery: the whole list first, then a watch that is asked for anew as soon as it is answered, from
- * the I/O thread, so that it goes on. A call that fails, is silent past its wait or brings what is no list
- * is made again soon; the list that is held stays.
+ * Follows discovery: the whole list first, then a watch that is asked for anew as soon as it is answered,
+ * from the I/O thread, so that it goes on. A call that fails, is silent past its wait or brings
+ * what is no list is made again soon; the list that is held stays.
  */
 final class DiscoveryWatch implements AutoCloseable {
     /** Called on I/O and timer threads; must not block. */
--- a/src/main/java/rosespread/platform/Heard.java
+++ b/src/main/java/rosespread/platform/Heard.java
@@ -56,7 +56,8 @@
 
     /** The figures, and begins anew. */
     String read() {
-        String told = String.format(Locale.ROOT, "heard reports %d tries %d unanswered %d offered %d busy %.2f",
+        String told = String.format(Locale.ROOT,
+                "heard reports %d tries %d unanswered %d offered %d busy %.2f",
                 reports, tries, unanswered, offered, busyReports == 0 ? Double.NaN : busy / busyReports);
         reports = 0;
         tries = 0;
--- a/src/main/java/rosespread/platform/PlatformCore.java
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -19,8 +19,8 @@
 import rosespread.turn.Rounds;
 
 /**
- * The conductor's state on the decision thread: who is joined by which stream, what is listed, and the module.
- * Everything here is called from that thread only.
+ * The conductor's state on the decision thread: who is joined by which stream, what is listed, and the
+ * module. Everything here is called from that thread only.
  */
 final class PlatformCore {
     /** What it needs of the outside. */
@@ -244,7 +244,8 @@
                 + " listed " + listed.size() + " rounds " + rounds.played() + " worst "
                 + rounds.worstNanos() / 1000 + " us messages " + messages + " bytes " + bytes + " marks "
                 + open + " oldest " + oldest / 1_000_000 + " ms stray " + strayAnswers + " reports "
-                + String.join(",", zones) + " drops " + counts.drops() + " " + heard.read() + " " + world.seen();
+                + String.join(",", zones) + " drops " + counts.drops() + " " + heard.read() + " "
+                + world.seen();
     }
 
     /** A module that throws has lost its place: a fresh one begins, as after a restart. */
--- a/src/main/java/rosespread/platform/RoundOrders.java
+++ b/src/main/java/rosespread/platform/RoundOrders.java
@@ -15,8 +15,8 @@
 
 /**
  * Turns a round's orders into one message for each proxy concerned. Pure: it knows the tables as ordered, who
- * is bound to what, and whom a node may be shut out at. The platform has no tables of ours: what a proxy holds
- * is written to it for the methods concerned, with changes against what was last written on its stream.
+ * is bound to what, and whom a node may be shut out at. The platform has no tables of ours: what a proxy
+ * holds is written to it for the methods concerned, with changes against what was last written on its stream.
  */
 final class RoundOrders implements Orders {
     /** What the module asks for besides messages. */
@@ -230,8 +230,8 @@
 
     /**
      * Who hears of nodes shut out: a bound proxy whose tables name the node, and each that is not bound yet,
-     * as it may hold it. Let back are all that were told, and those whose table names the node by now: a proxy
-     * brings what another conductor shut out there, which can only be nodes that left or started anew.
+     * as it may hold it. Let back are all that were told, and those whose table names the node by now: a
+     * proxy brings what another conductor shut out there, which can only be nodes that left or started anew.
      */
     private Part shutting(Held held) {
         List<NodeId> out = new ArrayList<>();
--- a/src/main/java/rosespread/platform/StreamServer.java
+++ b/src/main/java/rosespread/platform/StreamServer.java
@@ -117,7 +117,7 @@
         acceptor.dispose(false);
     }
 
-    /** Takes no connection over the limit: those wait in the backlog until one that has not joined is gone. */
+    /** Takes no connection over the limit: it waits in the backlog until one that has not joined is gone. */
     private final class Acceptor extends NioSocketAcceptor {
         Acceptor() {
             super(1);
