--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -57,8 +57,6 @@
     private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
     /** Whole tables wait here rather than in the channel; the smallest group that a table is laid for. */
     private static final long BIND_DEPTH = SECOND / 2, LEAST_GROUP = 8;
-    /** How long after the first has joined proxies may wait for a table that was learned. */
-    private static final long LEARN_FIRST = 3 * SECOND;
 
     /** Levels: how often set, the load kept to, what fall does not wait, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
@@ -804,8 +802,6 @@
     /**
      * Joined proxies and laggards get whole tables, the busiest first, but those that wait for half a grace
      * before all: guards against a proxy that follows another's table, with a node that leaves, for too long.
-     * After a start none is bound for a moment, until it is known what nodes can do or one of them leaves:
-     * guards against good tables of others being replaced by one that holds all nodes alike.
      */
     private void bindOwed() {
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
@@ -817,9 +813,7 @@
         if (!owed.isEmpty()) {
             tables.stream().filter(t -> t.laid.isEmpty()).forEach(t -> send(t, Integer.MAX_VALUE));
         }
-        boolean waits = !told && proxies.values().stream().allMatch(p -> now - p.joinedAt < LEARN_FIRST)
-                && nodes.values().stream().allMatch(Node::ready);
-        for (Proxy proxy : waits ? List.<Proxy>of() : owed) {
+        for (Proxy proxy : owed) {
             double lines = 0;
             for (Table table : tables) {
                 lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
