--- a/src/main/java/rosespread/platform/PlatformCore.java
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -162,7 +162,6 @@
         if (old != null) {
             old.wire.close();
         }
-        orders.joined(join.proxy());
         tellJoin(join);
         LOG.info("proxy {} joined{}{}", join.proxy().value(), join.fresh() ? ", fresh" : "",
                 old == null ? "" : ", in place of its old stream");
--- a/src/main/java/rosespread/platform/StreamServer.java
+++ b/src/main/java/rosespread/platform/StreamServer.java
@@ -32,6 +32,8 @@
     private static final RespLimits JOINED = new RespLimits(1 << 20, 256);
     /** How long a connection may take to join. */
     private static final long JOIN_WITHIN = 1_000_000_000L;
+    /** Who asks for signs of life and reads none must not fill the memory. */
+    private static final long UNREAD_MOST = 128L << 10;
     private static final long FULL_PAUSE = 2_000_000L;
     private static final byte[] ALIVE = RespWriter.bytes(List.of("hb_ok"));
 
@@ -173,7 +175,11 @@
 
         private void take(Peer peer, Message message) throws SpoiltException {
             if (message instanceof Message.Heartbeat) {
-                peer.write(ALIVE);
+                if (peer.unwritten() > UNREAD_MOST) {
+                    peer.close();
+                } else {
+                    peer.write(ALIVE);
+                }
             } else if (message instanceof Message.Collector collector && peer.role == Peer.Role.STRANGER) {
                 peer.zone = collector.zone();
                 joined(peer, Peer.Role.COLLECTOR);
