Nodes that left before they were laid are shut out for proxies that wait to be bound

Looked at: each message that a conductor wrote to the proxy named. Conductor n1 came back at 11.5 s with a remembered list in which the node still served; its first whole list had it no more. 45 proxies came to it at 12 to 14 s with tables of other conductors and were bound at 4 to 5 a second (each whole table takes 222 of 1,200 lines a second), the last at 22 s. Until then nothing told them of that node: it was in no message of the conductor.

At fault: Brain.shut() was reached from send() alone, for a node whose line a table here takes out. A node that no table here ever named has no such line. Also it spoke only to those unbound at that moment, so who joined later was not told either. Ruled out: a lost message (marks were answered), lists that come late (logged in time), a let-back by mistake (no message had one).

Now each tick, if those that wait can't all be bound within half a grace or one has waited so long, what left within the last four graces is shut out for those not told yet, as room for drains allows. A proxy that was told on its stream is not written to again. Tests for both fail without the fix.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -55,8 +55,9 @@
     /** Parts of the queue's and messages' limits for deliveries and whole tables; drains have the rest. */
     private static final double PART_CROWDED = 0.35, PART_DELIVERY = 0.5, PART_URGENT = 0.7;
     private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
-    /** Whole tables wait here rather than in the channel; the smallest group that a table is laid for. */
+    /** Whole tables wait here, not in the channel; the least group; graces that a gone node may be held. */
     private static final long BIND_DEPTH = SECOND / 2, LEAST_GROUP = 8;
+    private static final long LEFT_GRACES = 4;
 
     /** Levels: how often set, the load kept to, what fall does not wait, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
@@ -73,16 +74,11 @@
     private final Sum lag = new Sum(10 * SECOND), lagCount = new Sum(10 * SECOND);
     private final Sum covers = new Sum(5 * SECOND), coverCount = new Sum(5 * SECOND);
     private final TreeMap<ProxyId, Double> turn = new TreeMap<>();
-    private long now;
-    private Orders orders;
-    private long sequence;
-    private boolean started, listLost, awake;
     private final List<Long> spokenAt = new ArrayList<>();
-    private boolean crowded;
-    private long nextStep, nextLevel, freeAt;
-    private double slack, window;
-    private boolean shedding, told;
-    private double unit = Double.NaN;
+    private Orders orders;
+    private long now, sequence, nextStep, nextLevel, freeAt;
+    private boolean started, listLost, awake, crowded, shedding, told;
+    private double slack, window, unit = Double.NaN;
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
 
     public Brain(Settings settings, RandomGenerator random) {
@@ -149,11 +145,11 @@
         if (settings.listOnDemand() && (!started || listLost)) {
             orders.followList();
         }
-        awake |= !started;
+        boolean look = awake || !started;
         started = true;
         listLost = false;
-        if (awake) {
-            awake = false;
+        awake = false;
+        if (look) {
             orders.wakeAfter(TICK);
             estimate();
             judge();
@@ -165,6 +161,9 @@
         crowded = false;
         IntStream.range(0, spokenAt.size()).boxed().sorted(Comparator.comparing(spokenAt::get)).toList()
                 .forEach(this::deliver);
+        if (look) {
+            shutOut();
+        }
         bindOwed();
         closeTurn();
     }
@@ -235,16 +234,11 @@
         Observer.NodeState state = Observer.NodeState.GONE;
         long up = Long.MIN_VALUE;
         double skill = 1;
-        final TreeMap<ZoneId, Rate> answered = new TreeMap<>();
-        final TreeMap<ZoneId, Rate> tried = new TreeMap<>();
+        final TreeMap<ZoneId, Rate> answered = new TreeMap<>(), tried = new TreeMap<>();
         Rate load, latency, busy;
-        long answeredAt = NEVER;
         Sum tries, unanswered;
         boolean sick, stepped;
-        long sickSince;
-        long probedAt;
-        boolean withdrawn;
-        long removedAt = NEVER;
+        long sickSince, probedAt, answeredAt = NEVER, removedAt = NEVER, leftAt = NEVER, withdrawnAt = NEVER;
 
         Node(NodeId id) {
             this.id = id;
@@ -255,6 +249,11 @@
             return state == Observer.NodeState.READY;
         }
 
+        void become(Observer.NodeState next) {
+            leftAt = next != Observer.NodeState.READY && (ready() || leftAt == NEVER) ? now : leftAt;
+            state = next;
+        }
+
         /**
          * A cold node stays out of the tables until what old ones sent it lies behind: guards against a
          * conductor that restarts as a lost site returns, and a list that flaps; it keeps a node idle for a
@@ -335,11 +334,9 @@
         final Settings.Method like;
         final ZoneId home;
         final List<MethodId> methods = new ArrayList<>();
-        final TreeMap<NodeId, Double> committed = new TreeMap<>();
-        final TreeMap<NodeId, Double> laid = new TreeMap<>();
-        final TreeMap<NodeId, Double> pending = new TreeMap<>();
-        final TreeMap<MethodId, Double> levels = new TreeMap<>();
-        final TreeMap<MethodId, Double> pendingLevels = new TreeMap<>();
+        final TreeMap<NodeId, Double> committed = new TreeMap<>(), laid = new TreeMap<>(),
+                pending = new TreeMap<>();
+        final TreeMap<MethodId, Double> levels = new TreeMap<>(), pendingLevels = new TreeMap<>();
         final TreeSet<ProxyId> inFlight = new TreeSet<>();
         long version, flightSequence, sentAt = NEVER;
         boolean panic, abrupt;
@@ -390,7 +387,7 @@
             node.kind = kind;
             node.zone = zone;
             node.listed = weight > 0 ? weight : 1;
-            node.state = state;
+            node.become(state);
             if (up > node.up) {
                 node.restart(up);
             }
@@ -400,7 +397,7 @@
         public void listEnds() {
             if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
                 nodes.values().stream().filter(node -> !listed.contains(node.id))
-                        .forEach(node -> node.state = NodeState.GONE);
+                        .forEach(node -> node.become(NodeState.GONE));
             }
             listLost |= kind == ListKind.UNAVAILABLE;
         }
@@ -926,8 +923,7 @@
             nodes.get(id).removedAt = weight == 0 ? now : nodes.get(id).removedAt;
         }
         changes.forEach(id -> shut(nodes.get(id)));
-        table.pendingLevels.forEach((method, level) ->
-                orders.level(table.id, method, level));
+        table.pendingLevels.forEach((method, level) -> orders.level(table.id, method, level));
         table.pendingLevels.clear();
         table.abrupt = false;
         table.flightSequence = sequence + 1;
@@ -944,14 +940,34 @@
     /** Proxies not yet bound may hold a node that left: for them it is shut out until it is laid again. */
     private void shut(Node node) {
         boolean held = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
-        List<Proxy> unbound = proxies.values().stream().filter(p -> !p.bound).toList();
-        if (node.withdrawn ? held : !held && !node.ready() && !unbound.isEmpty()) {
-            node.withdrawn = !held;
-            orders.withdraw(node.id, node.withdrawn);
-            unbound.forEach(proxy -> reach(proxy, 1));
+        List<Proxy> untold = unbound().stream().filter(p -> held || p.joinedAt > node.withdrawnAt).toList();
+        if (held ? node.withdrawnAt > NEVER : !node.ready() && !untold.isEmpty()) {
+            node.withdrawnAt = held ? NEVER : now;
+            orders.withdraw(node.id, !held);
+            untold.forEach(proxy -> reach(proxy, 1));
+        }
+    }
+
+    /**
+     * Proxies that can't all be bound within half a grace are told at least what left lately, which costs far
+     * less: guards against nodes of another conductor's tables that none here ever named and so none removes.
+     */
+    private void shutOut() {
+        double soon = settings.linesPerSecond() * settings.drainGrace() / 2 / SECOND;
+        double whole = unbound().size() * (headAndMark() + ready().size()) + waiting();
+        if (whole > soon || unbound().stream().anyMatch(Proxy::late)) {
+            nodes.values().stream().filter(n -> !n.ready())
+                    .filter(n -> now - n.leftAt < LEFT_GRACES * settings.drainGrace())
+                    .filter(n -> unbound().size() * (headAndMark() + 1) < room(PART_DRAIN))
+                    .filter(n -> unbound().stream().allMatch(p -> mayWrite(p, PART_DRAIN)))
+                    .forEach(this::shut);
         }
     }
 
+    private List<Proxy> unbound() {
+        return proxies.values().stream().filter(p -> !p.bound).toList();
+    }
+
     private void reach(Proxy proxy, double lines) {
         turn.merge(proxy.id, headAndMark() + lines, (old, more) -> old + lines);
     }
--- a/src/main/java/rosespread/platform/RoundOrders.java
+++ b/src/main/java/rosespread/platform/RoundOrders.java
@@ -237,9 +237,8 @@
         List<NodeId> out = new ArrayList<>();
         List<NodeId> back = new ArrayList<>();
         shut.forEach((node, isOut) -> {
-            if (isOut && (held.bound.isEmpty() || names(held, node))) {
+            if (isOut && (held.bound.isEmpty() || names(held, node)) && held.out.add(node)) {
                 out.add(node);
-                held.out.add(node);
                 held.in.remove(node);
             } else if (!isOut && held.out.contains(node)) {
                 back.add(node);
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -241,6 +241,31 @@
         assertEquals(List.of(), rig.since(0, "line 1 9 "));
     }
 
+    /**
+     * A conductor that was down while a node left never lays it; the proxies that come to it all at once bring
+     * tables that name it, and most can't be bound within the grace of 2 s.
+     */
+    @ParameterizedTest
+    @CsvSource({"GONE, 0", "DRAINING, 0", "GONE, 5", "DRAINING, 5"})
+    void whatLeftBeforeItWasLaidIsShutOutForProxiesThatCannotBeBoundSoon(Observer.NodeState state,
+            double later) {
+        Rig rig = new Rig(settings(8200, 30, method(1)));
+        rig.slow = true;
+        int[] nodes = IntStream.range(0, 200).toArray();
+        rig.list(Observer.ListKind.REMEMBERED, READY, LONG_AGO, nodes).round(0);
+        rig.list(CHANGES, state, LONG_AGO, 7).run(later);
+        IntStream.range(0, 45).forEach(p -> rig.join(p, 5));
+        rig.run(1.5);
+        assertEquals(1, rig.since(0, "withdraw 7").size());
+        assertTrue(rig.since(0, "bind ").size() < 45);
+        IntStream.range(45, 60).forEach(p -> rig.join(p, 5));
+        rig.run(1.5);
+        assertEquals(2, rig.since(0, "withdraw 7").size(), "those that came later");
+        rig.run(20);
+        assertEquals(2, rig.since(0, "withdraw 7").size());
+        assertTrue(rig.mostWaiting <= 8200, rig.mostWaiting + " lines waited");
+    }
+
     /** Full size: 110 nodes, up to 150 proxies; a site's nodes leave one by one and return cold. */
     @ParameterizedTest
     @CsvSource({"50, 3400, 30", "100, 3400, 30", "150, 4900, 20", "31, 1100, 30"})
--- a/src/test/java/rosespread/platform/RoundOrdersTest.java
+++ b/src/test/java/rosespread/platform/RoundOrdersTest.java
@@ -93,6 +93,8 @@
         "j0 1:A=2 1:l~0 1:o~0 b0:1:lo | 0> assign whole 1 lines A:2 level 0 retry 1",
         "j0 j1 1:A=2 b0:1:lo / -B m3 | 1> assign out B ticket 3",
         "j0 1:A=2 b0:1:lo / -A | 0> assign out A",
+        "j0 -A / j1 -A | 1> assign out A",
+        "j0 -A / +A / -A | 0> assign out A",
         "j0 -A / 1:B=1 b0:1:lo / +A | 0> assign back A",
         "j0 -A / 1:B=1 b0:1:lo / 1:A=1 +A | 0> assign lines A:1 more 1; assign back A",
         "r:A j0 1:A=1 1:B=1 b0:1:lo | 0> assign whole 1 lines A:1,B:1 more 1; assign back A",
