Crossings at start, move, idle connection, rejection and fault no longer lose anything

Read for races (shutdown, list watch, retries, idle connections, hand-overs); each of these was proved by a test that forces the crossing, on real sockets where sockets are in it: - SIGHUP before the start is over was dropped (ServeCommand's latch): it waits for the start now. While discovery is out of reach the file is looked at once a second; a SIGHUP that is ignored is said at the start. - An Error in an event or a turn ended the deciding thread, while hb was still answered. A module that could not begin anew was never begun again. - A whole list older than the one held, as an agent that was moved to may have, is not taken before it has been told for a second; one that names no node is never taken over nodes that are held. - A kept connection that ends as the next GET is written on it made a probe a failed try and a watch a failure: the call is made once more on a fresh connection. Kept connections of addresses that are gone were held for good. - One that was rejected and reads nothing was swept no longer; what came along with the rejected words was taken. - accept() that throws put MINA's acceptor to sleep for a second; tickets of the ninth module fitted those of the first; the end of a stream was looked for among all; zone and kind names were given on two threads without a lock; an address such as 999.0.0.1 asked DNS; a timer's task that throws would never run again. Ruled out by reading: equal bytes under other marks (one mark a round), orders to proxies that left (RoundOrders and streams change together), node names unknown to the writer, a lost wake-up of the inbox.

--- a/src/main/java/rosespread/conductor/Conductor.java
+++ b/src/main/java/rosespread/conductor/Conductor.java
@@ -92,7 +92,7 @@
         this.server = new ChannelServer(2, inbox, core);
         this.state = core.state();
         this.peers = new PeerDrains(http, timer, words -> inbox.put(now -> core.hear(now, words)));
-        this.loop = new DecisionLoop(inbox, core::turn);
+        this.loop = new DecisionLoop(inbox, core::turn, this::undecided);
         this.thread = new Thread(() -> {
             loop.run();
             core.stop(System.nanoTime());
@@ -100,6 +100,12 @@
         }, "decisions");
     }
 
+    /** Nobody decides any more: proxies must not take it for alive. */
+    private void undecided() {
+        LOG.error("the decision thread ended: no proxy is listened to any more");
+        server.close();
+    }
+
     /**
      * Starts and listens for proxies; returns the address. Takes the settings saved last, if they are whole.
      */
--- a/src/main/java/rosespread/conductor/Core.java
+++ b/src/main/java/rosespread/conductor/Core.java
@@ -488,7 +488,7 @@
         }
 
         @Override
-        public void faulted(RuntimeException fault) {
+        public void faulted(Throwable fault) {
             LOG.error("the decision module failed and begins anew", fault);
             begin("the decision module begins anew");
         }
--- a/src/main/java/rosespread/launch/Names.java
+++ b/src/main/java/rosespread/launch/Names.java
@@ -42,13 +42,13 @@
         utilization = info.has("report") ? info.object("report").array("columns").indexOf("utilization") : -1;
     }
 
-    /** A name that the settings lack gets the next number. */
-    public ZoneId zone(String name) {
+    /** A name that the settings lack gets the next number; asked by several threads. */
+    public synchronized ZoneId zone(String name) {
         zones.putIfAbsent(name, zones.size());
         return new ZoneId(zones.get(name));
     }
 
-    public KindId kind(String name) {
+    public synchronized KindId kind(String name) {
         kinds.putIfAbsent(name, kinds.size());
         return new KindId(kinds.get(name));
     }
@@ -62,7 +62,7 @@
     }
 
     /** Whether the settings name this zone, unlike one that only a list brought. */
-    public boolean namesZone(String name) {
+    public synchronized boolean namesZone(String name) {
         return zones.containsKey(name) && zones.get(name) < namedZones;
     }
 
--- a/src/main/java/rosespread/platform/Counts.java
+++ b/src/main/java/rosespread/platform/Counts.java
@@ -12,6 +12,7 @@
     final LongAdder evicted = new LongAdder();
     final LongAdder rejected = new LongAdder();
     final LongAdder garbled = new LongAdder();
+    final LongAdder notAccepted = new LongAdder();
     private final Map<SpoiltException.Reason, LongAdder> dropped =
             new EnumMap<>(SpoiltException.Reason.class);
 
--- a/src/main/java/rosespread/platform/DiscoveryWatch.java
+++ b/src/main/java/rosespread/platform/DiscoveryWatch.java
@@ -1,6 +1,7 @@
 package rosespread.platform;
 
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -30,6 +31,8 @@
     private static final long FIRST_PAUSE = 20_000_000L;
     private static final long MOST_PAUSE = 320_000_000L;
     private static final int MOST_DOUBLINGS = 4;
+    /** For so long a list older than the one held is not taken; after that its source has begun anew. */
+    private static final long OLDER_NANOS = 1_000_000_000L;
 
     private final HttpClient http;
     private final ScheduledExecutorService timer;
@@ -37,6 +40,9 @@
     private final Ears ears;
     private InetSocketAddress at;
     private long version = -1;
+    /** The version of what was taken last, whatever is asked next; and since when only older ones came. */
+    private long taken = -1;
+    private OptionalLong olderSince = OptionalLong.empty();
     private int failures;
     private boolean closed;
     private Call open;
@@ -53,6 +59,7 @@
         at = address;
         version = -1;
         failures = 0;
+        olderSince = OptionalLong.empty();
         Call old = open;
         open = null;
         if (old != null) {
@@ -93,8 +100,9 @@
             }
             try {
                 take(this, TargetList.parse(answer.body()));
-            } catch (LaunchException e) {
-                failed(e.getMessage());
+            } catch (LaunchException | RuntimeException | StackOverflowError e) {
+                // Whatever an answer does to its reader, the next call is made: else nobody would ask again.
+                failed(String.valueOf(e.getMessage()));
             }
         }
 
@@ -108,17 +116,33 @@
         }
     }
 
-    /** A version that went back without the whole list leaves it unknown what is held: all is asked for. */
+    /**
+     * A version that went back leaves it unknown what is held, so all is asked for. What is older than the list
+     * held is not taken, as it would undo what was told since: an agent that was moved to may be behind.
+     */
     private synchronized void take(Call call, TargetList list) {
         if (call != open || closed) {
             return;
         }
+        if (list.version() < taken && !(list.full() && begunAnew())) {
+            version = -1;
+            failed(call, "version " + list.version() + " is older than " + taken + ", which is held");
+            return;
+        }
         failures = 0;
-        version = !list.full() && list.version() < version ? -1 : list.version();
+        olderSince = OptionalLong.empty();
+        taken = list.version();
+        version = taken;
         ask();
         ears.list(list);
     }
 
+    private boolean begunAnew() {
+        long now = System.nanoTime();
+        olderSince = OptionalLong.of(olderSince.orElse(now));
+        return now - olderSince.getAsLong() > OLDER_NANOS;
+    }
+
     private synchronized void failed(Call call, String why) {
         if (call != open || closed) {
             return;
--- a/src/main/java/rosespread/platform/PlatformConductor.java
+++ b/src/main/java/rosespread/platform/PlatformConductor.java
@@ -8,10 +8,12 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import rosespread.api.NodeId;
@@ -33,6 +35,10 @@
     private static final int IDLE_SECONDS = 1;
     private static final long PROBE_NANOS = 500_000_000L;
     private static final long SWEEP_MILLIS = 50;
+    /** While discovery is out of reach, the file is looked at so often. */
+    private static final long LOOK_NANOS = 1_000_000_000L;
+    /** EX_SOFTWARE of sysexits.h. */
+    private static final int BROKEN = 70;
     /** Descriptors kept back from connections that come in: discovery, probes, files, selectors. */
     private static final int KEPT_BACK = 72;
 
@@ -50,10 +56,12 @@
     private final PlatformCore core;
     private final StreamServer server;
     private PlatformConfig config;
+    private long lookedAt;
 
     private PlatformConductor(PlatformConfig config, Map<String, String> environment) {
         this.config = config;
         this.environment = environment;
+        this.lookedAt = System.nanoTime();
         long wallOffset = System.nanoTime() - System.currentTimeMillis() * 1_000_000;
         core = new PlatformCore(config, new Outside(), counts, wallOffset);
         server = new StreamServer(inbox, core, new MessageReader(config.names(), config.proxies()), counts,
@@ -63,21 +71,26 @@
 
     /** Runs until the process is told to end; returns its exit code if it can't begin. */
     public static int serve(Map<String, String> environment) {
-        CountDownLatch ready = new CountDownLatch(1);
-        PlatformConductor[] running = new PlatformConductor[1];
-        Signals.handle("TERM", () -> {
+        return serve(environment, Signals::handle);
+    }
+
+    /** @param signals takes a signal's name and what is run at it; false if the process is not told of it */
+    static int serve(Map<String, String> environment, BiPredicate<String, Runnable> signals) {
+        CompletableFuture<PlatformConductor> running = new CompletableFuture<>();
+        signals.test("TERM", () -> {
             LOG.info("told to end");
             System.exit(0);
         });
-        Signals.handle("HUP", () -> {
-            if (ready.getCount() == 0) {
-                running[0].reload();
-            }
-        });
+        // One that comes before the start is over, such as right after the first hb_ok, is not lost.
+        if (!signals.test("HUP", () -> running.join().reload())) {
+            LOG.warn("SIGHUP is ignored, as whoever started this process set it (nohup does): the configuration"
+                    + " is looked at only while discovery is out of reach");
+        }
         try {
             PlatformConfig config = PlatformConfig.read(environment);
-            running[0] = new PlatformConductor(config, environment);
-            running[0].start();
+            PlatformConductor conductor = new PlatformConductor(config, environment);
+            conductor.start();
+            running.complete(conductor);
         } catch (LaunchException e) {
             System.err.println("rosespread serve: " + e.getMessage());
             return 2;
@@ -85,7 +98,6 @@
             System.err.println("rosespread serve: can't listen: " + e.getMessage());
             return 1;
         }
-        ready.countDown();
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
@@ -99,37 +111,75 @@
     }
 
     private void start() throws IOException {
-        Thread decisions = new Thread(new DecisionLoop(inbox, core::turn), "decisions");
+        Thread decisions = new Thread(new DecisionLoop(inbox, core::turn, this::undecided),
+                "decisions");
         decisions.setDaemon(true);
         decisions.start();
         watch.follow(config.discovery());
-        timer.scheduleAtFixedRate(() -> server.sweep(System.nanoTime()), SWEEP_MILLIS, SWEEP_MILLIS,
-                TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         InetSocketAddress bound = server.listen(config.listen());
-        LOG.info("{} listens on {}, discovery {}, {} nodes known, {} sockets, {} proxies at most",
+        LOG.info("{} listens on {}, discovery {}, {} nodes known, {} sockets, {} proxies at most, {}",
                 config.name(), bound, config.discovery(), config.known().targets().size(), config.sockets(),
-                config.proxies());
+                config.proxies(), config.settings());
     }
 
-    /** A file at fault changes nothing; of a good one, what can be taken while running is. */
-    private synchronized void reload() {
+    /** A timer's task that throws is never run again: strangers would keep their descriptors for good. */
+    private void sweep() {
+        try {
+            server.sweep(System.nanoTime());
+        } catch (RuntimeException | Error e) {
+            LOG.error("strangers could not be looked through", e);
+        }
+    }
+
+    /** I/O threads would go on saying that all is well; the platform starts a process that ended anew. */
+    private void undecided() {
+        LOG.error("the decision thread ended, so the process does");
+        Runtime.getRuntime().halt(BROKEN);
+    }
+
+    /**
+     * A SIGHUP may be lost: to a parent that ignores it, or to a file that was not whole yet. Guards against a
+     * list that goes quiet for good because discovery has moved and nobody heard of it.
+     */
+    private synchronized void look() {
+        long now = System.nanoTime();
+        if (now - lookedAt < LOOK_NANOS) {
+            return;
+        }
+        lookedAt = now;
         try {
             PlatformConfig next = PlatformConfig.read(environment);
             if (!next.discovery().equals(config.discovery())) {
-                LOG.info("discovery moves from {} to {}", config.discovery(), next.discovery());
-                watch.follow(next.discovery());
-            }
-            LOG.info("the new configuration was read");
-            server.mostOpen(most(next));
-            if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())) {
-                LOG.warn("settings or the address to listen on changed: taken at the next start");
+                take(next);
             }
-            config = next;
-        } catch (LaunchException e) {
+        } catch (LaunchException | RuntimeException e) {
+            LOG.debug("the configuration can't be used now: {}", e.getMessage());
+        }
+    }
+
+    /** A file at fault changes nothing; of a good one, what can be taken while running is. */
+    private synchronized void reload() {
+        try {
+            take(PlatformConfig.read(environment));
+        } catch (LaunchException | RuntimeException e) {
             LOG.error("the new configuration is at fault and changes nothing: {}", e.getMessage());
         }
     }
 
+    private void take(PlatformConfig next) {
+        if (!next.discovery().equals(config.discovery())) {
+            LOG.info("discovery moves from {} to {}", config.discovery(), next.discovery());
+            watch.follow(next.discovery());
+        }
+        LOG.info("the new configuration was read");
+        server.mostOpen(most(next));
+        if (!next.settings().equals(config.settings()) || !next.listen().equals(config.listen())) {
+            LOG.warn("settings or the address to listen on changed: taken at the next start");
+        }
+        config = next;
+    }
+
     private final class ListEars implements DiscoveryWatch.Ears {
         @Override
         public void list(TargetList list) {
@@ -140,6 +190,7 @@
         public void unavailable(String why) {
             LOG.warn("discovery: {}", why);
             inbox.put(now -> core.listUnavailable());
+            timer.execute(PlatformConductor.this::look);
         }
     }
 
@@ -153,7 +204,8 @@
         public String seen() {
             return "open " + server.open() + " opened " + counts.opened.sum() + " rejected "
                     + counts.rejected.sum() + " late " + counts.strangersClosed.sum() + " evicted "
-                    + counts.evicted.sum() + " garbled " + counts.garbled.sum() + " resident "
+                    + counts.evicted.sum() + " garbled " + counts.garbled.sum() + " not accepted "
+                    + counts.notAccepted.sum() + " unread " + server.unwritten() + " resident "
                     + resident() + " KB descriptors " + descriptors();
         }
 
--- a/src/main/java/rosespread/platform/PlatformCore.java
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -36,8 +36,7 @@
     /** A stream that leaves so much unread is of no use, and what waits for it must not grow. */
     private static final long UNWRITTEN_MOST = 512L << 10;
     private static final int MARKS_MOST = 1024;
-    /** Marks of one module are told apart from those of the one before, on the same stream. */
-    private static final int MARKS_APART = 8192;
+    private static final int TICKETS = 1 << 16;
 
     private final PlatformConfig config;
     private final World world;
@@ -54,6 +53,7 @@
     private Brain brain;
     private RoundOrders orders;
     private int begun;
+    private int ticket;
     private long now;
     private long seenAt;
     private long messages;
@@ -64,7 +64,7 @@
     private static final class Stream {
         final Wire wire;
         final Message.Join join;
-        final Map<Integer, Long> marks = new LinkedHashMap<>();
+        final Map<Integer, Mark> marks = new LinkedHashMap<>();
 
         Stream(Wire wire, Message.Join join) {
             this.wire = wire;
@@ -72,6 +72,9 @@
         }
     }
 
+    /** A mark of the module that a ticket stands for, and when it was written. */
+    private record Mark(int mark, long at) { }
+
     /**
      * @param wallOffset what is added to nanoseconds of the wall clock to have the module's time; fixed, so
      *     that a start always comes out the same
@@ -92,14 +95,25 @@
         begun++;
         orders = new RoundOrders(config.settings().methods().size(), restless::contains, new Asking());
         rounds.begin();
+        streams.values().forEach(stream -> stream.marks.clear());
         tellList(Observer.ListKind.REMEMBERED, listed);
         streams.values().forEach(stream -> tellJoin(stream.join));
     }
 
     // ---- the list ----
 
+    /**
+     * A whole list without a node while nodes are held is not believed: it would take all lines away on the
+     * word of one answer. What is held stays, and changes since that version count.
+     */
     void list(long time, TargetList list) {
         now = time;
+        if (list.full() && list.targets().isEmpty() && !listed.isEmpty()) {
+            LOG.warn("discovery: whole list version {} names no node: the {} held stay", list.version(),
+                    listed.size());
+            listUnavailable();
+            return;
+        }
         list(list.full() ? Observer.ListKind.WHOLE : Observer.ListKind.CHANGES, list);
     }
 
@@ -172,27 +186,28 @@
         rounds.add(observer -> observer.proxyJoined(join.proxy(), join.zone(), join.rate()));
     }
 
-    void closed(long time, Wire wire) {
+    /** Only the stream that stands ends; the late end of one that was replaced takes nothing with it. */
+    void closed(long time, Wire wire, ProxyId proxy) {
         now = time;
-        streams.values().stream().filter(stream -> stream.wire == wire).findFirst().ifPresent(stream -> {
-            ProxyId proxy = stream.join.proxy();
+        Stream stream = streams.get(proxy);
+        if (stream != null && stream.wire == wire) {
             streams.remove(proxy);
             orders.left(proxy);
             rounds.add(observer -> observer.proxyLeft(proxy));
             LOG.info("proxy {} left", proxy.value());
-        });
+        }
     }
 
     /** Counts only on the stream that carried the mark. */
     void done(long time, Wire wire, Message.Done done) {
         now = time;
         Stream stream = streams.get(done.proxy());
-        if (stream == null || stream.wire != wire || stream.marks.remove(done.ticket()) == null) {
+        Mark mark = stream == null || stream.wire != wire ? null : stream.marks.remove(done.ticket());
+        if (mark == null) {
             strayAnswers++;
             return;
         }
-        int mark = done.ticket() - begun * MARKS_APART & 0xFFFF;
-        rounds.add(observer -> observer.installed(done.proxy(), mark, done.took()));
+        rounds.add(observer -> observer.installed(done.proxy(), mark.mark(), done.took()));
     }
 
     // ---- reports ----
@@ -233,10 +248,10 @@
         return Math.min(rounds.turn(now, player), seenAt + SECOND);
     }
 
-    private String seen() {
+    String seen() {
         long open = streams.values().stream().mapToLong(stream -> stream.marks.size()).sum();
         long oldest = streams.values().stream().flatMap(stream -> stream.marks.values().stream())
-                .mapToLong(at -> now - at).max().orElse(0);
+                .mapToLong(mark -> now - mark.at()).max().orElse(0);
         List<String> zones = new ArrayList<>();
         reports.forEach((zone, count) -> zones.add(zone.value() + ":" + count));
         return "joined " + streams.size() + " bound " + orders.bound() + " withdrawn " + orders.withdrawn()
@@ -253,31 +268,34 @@
         public void round(Feed feed) {
             brain.round(now, feed, orders);
             Map<List<Part>, byte[]> written = new LinkedHashMap<>();
+            ticket = (ticket + 1) % TICKETS;
             orders.close((proxy, parts, mark) -> send(proxy, parts, mark, written));
         }
 
         @Override
-        public void faulted(RuntimeException fault) {
+        public void faulted(Throwable fault) {
             LOG.error("the decision module failed and begins anew", fault);
             begin();
         }
     }
 
-    /** Proxies that get the same parts share the bytes. */
+    /**
+     * Proxies that get the same parts share the bytes, as all of a round carry the one mark. It goes out under
+     * a ticket of our own, one a round: an answer that is late, or from before the module began anew, fits none.
+     */
     private void send(ProxyId proxy, List<Part> parts, int mark, Map<List<Part>, byte[]> written) {
         Stream stream = streams.get(proxy);
-        int ticket = mark < 0 ? -1 : mark + begun * MARKS_APART & 0xFFFF;
-        byte[] message = written.computeIfAbsent(parts, p -> writer.bytes(p, ticket));
+        byte[] message = written.computeIfAbsent(parts, p -> writer.bytes(p, mark < 0 ? -1 : ticket));
         if (stream.wire.unwritten() > UNWRITTEN_MOST) {
             LOG.warn("proxy {} takes nothing: its stream is ended", proxy.value());
             stream.wire.close();
             return;
         }
-        if (ticket >= 0) {
+        if (mark >= 0) {
             if (stream.marks.size() >= MARKS_MOST) {
                 stream.marks.remove(stream.marks.keySet().iterator().next());
             }
-            stream.marks.put(ticket, now);
+            stream.marks.put(ticket, new Mark(mark, now));
         }
         messages++;
         bytes += message.length;
--- a/src/main/java/rosespread/platform/Signals.java
+++ b/src/main/java/rosespread/platform/Signals.java
@@ -10,8 +10,11 @@
 final class Signals {
     private Signals() { }
 
-    /** Runs {@code then} on a thread of its own at each signal of this name, such as HUP. */
-    static void handle(String name, Runnable then) {
+    /**
+     * Runs {@code then} on a thread of its own at each signal of this name, such as HUP. False if the signal was
+     * ignored as the process was started: the JVM keeps it so.
+     */
+    static boolean handle(String name, Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -25,8 +28,9 @@
                         case "hashCode" -> System.identityHashCode(self);
                         default -> "handler of " + name;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance(name), taker);
+            return !handler.getField("SIG_IGN").get(null).equals(before);
         } catch (ReflectiveOperationException e) {
             Throwable cause = e instanceof InvocationTargetException told ? told.getCause() : e;
             throw new IllegalStateException("SIG" + name + " can't be taken: " + cause, cause);
--- a/src/main/java/rosespread/platform/StreamServer.java
+++ b/src/main/java/rosespread/platform/StreamServer.java
@@ -75,6 +75,12 @@
         return open.get();
     }
 
+    /** The most that one connection has not taken yet, in bytes. */
+    long unwritten() {
+        return acceptor.getManagedSessions().values().stream().mapToLong(IoSession::getScheduledWriteBytes)
+                .max().orElse(0);
+    }
+
     /** Closes those that had their time to join. */
     void sweep(long now) {
         List<Peer> late = new ArrayList<>();
@@ -135,13 +141,29 @@
                     return null;
                 }
             }
-            NioSession session = super.accept(processor, handle);
+            NioSession session = taken(processor, handle);
             if (session != null) {
                 open.incrementAndGet();
                 session.getCloseFuture().addListener(future -> open.decrementAndGet());
             }
             return session;
         }
+
+        /**
+         * MINA's acceptor sleeps for a second when accepting throws. Guards against one peer that is gone before
+         * it was accepted, or descriptors that lack for a moment, holding up all that join.
+         */
+        private NioSession taken(IoProcessor<NioSession> processor, ServerSocketChannel handle)
+                throws Exception {
+            try {
+                return super.accept(processor, handle);
+            } catch (IOException | RuntimeException e) {
+                counts.notAccepted.increment();
+                evictOldest();
+                LockSupport.parkNanos(FULL_PAUSE);
+                return null;
+            }
+        }
     }
 
     private final class Sessions extends IoHandlerAdapter {
@@ -158,7 +180,7 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             Peer peer = (Peer) session.getAttribute(PEER);
-            if (session.isClosing()) {
+            if (session.isClosing() || peer.role == Peer.Role.REJECTED) {
                 return;
             }
             try {
@@ -205,10 +227,13 @@
             RespCodec.limit(peer.session, JOINED);
         }
 
-        /** One word why, then the end; what still comes is not read. */
+        /**
+         * One word why, then the end; what still comes is not read, nor taken if it came along. It stays among
+         * the strangers: guards against one that never reads its word and would keep its descriptor for good.
+         */
         private void reject(Peer peer, String why) {
             counts.rejected.increment();
-            known(peer);
+            peer.role = Peer.Role.REJECTED;
             peer.session.suspendRead();
             peer.write(RespWriter.bytes(List.of("reject", "reason", why)));
             peer.session.closeOnFlush();
@@ -219,7 +244,7 @@
             Peer peer = (Peer) session.getAttribute(PEER);
             known(peer);
             if (peer.role == Peer.Role.PROXY) {
-                inbox.put(now -> core.closed(now, peer));
+                inbox.put(now -> core.closed(now, peer, peer.proxy));
             }
         }
 
--- a/src/main/java/rosespread/platform/TargetList.java
+++ b/src/main/java/rosespread/platform/TargetList.java
@@ -10,6 +10,8 @@
 /** One answer of discovery: the whole list, or the entries that changed since an earlier version. */
 record TargetList(long version, boolean full, List<Target> targets) {
     private static final int MOST = 100_000;
+    /** The last wall time in milliseconds that nanoseconds can still tell, in the year 2255. */
+    private static final long MOST_STARTED = 9_000_000_000_000L;
 
     /** @throws LaunchException if it is no such answer; names line and column, or entry and field */
     static TargetList parse(byte[] body) throws LaunchException {
@@ -46,7 +48,8 @@
         };
         double weight = entry.number("weight", 1);
         long started = entry.has("started_ms") ? (long) entry.number("started_ms") : 0;
-        if (!(weight >= 0) || Double.isInfinite(weight) || started < 0) {
+        if (!(weight >= 0) || Double.isInfinite(weight) || started < 0
+                || started > MOST_STARTED) {
             throw new LaunchException("weight or started_ms is out of range");
         }
         InetSocketAddress address = state == NodeState.GONE && !entry.has("addr") ? null
--- a/src/main/java/rosespread/turn/Rounds.java
+++ b/src/main/java/rosespread/turn/Rounds.java
@@ -16,7 +16,7 @@
         void round(Feed feed);
 
         /** The module threw and has lost its place; what begins it anew tells it all it needs. */
-        void faulted(RuntimeException fault);
+        void faulted(Throwable fault);
     }
 
     /** Rounds come at most this often, so that answers that arrive together are one round. */
@@ -28,6 +28,7 @@
     private long wakeAt = Long.MAX_VALUE;
     private long last = Long.MIN_VALUE / 2;
     private long heldUntil = Long.MIN_VALUE;
+    private Throwable fault;
     private long played;
     private long nanos;
     private long worst;
@@ -52,6 +53,10 @@
 
     /** Plays a round if one is due; returns when to come back, {@link Long#MAX_VALUE} if nothing is known. */
     public long turn(long now, Player player) {
+        if (fault != null && now >= heldUntil) {
+            heldUntil = now + FAULT_PAUSE;
+            beginAnew(player);
+        }
         if (now >= wakeAt) {
             wakeAt = Long.MAX_VALUE;
             calls.add(Observer::woke);
@@ -67,6 +72,12 @@
         return calls.isEmpty() ? wakeAt : Math.min(wakeAt, heldUntil);
     }
 
+    /** Until it has begun without a throw of its own: guards against no module at all, and no round ever. */
+    private void beginAnew(Player player) {
+        player.faulted(fault);
+        fault = null;
+    }
+
     private void play(long now, Player player) {
         List<Consumer<Observer>> told = calls;
         calls = new ArrayList<>();
@@ -74,10 +85,11 @@
         long began = System.nanoTime();
         try {
             player.round(observer -> told.forEach(call -> call.accept(observer)));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             faults++;
-            player.faulted(e);
+            fault = e;
             heldUntil = now + FAULT_PAUSE;
+            beginAnew(player);
         }
         long took = System.nanoTime() - began;
         played++;
--- /dev/null
+++ b/src/test/java/rosespread/http/HttpClientTest.java
@@ -0,0 +1,72 @@
+package rosespread.http;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class HttpClientTest {
+    private static final long PATIENCE = 10_000_000_000L;
+    private final HttpClient http = new HttpClient(1, HttpLimits.USUAL, 1000, 10);
+    private final List<String> outcomes = new CopyOnWriteArrayList<>();
+
+    @AfterEach
+    void close() {
+        http.close();
+    }
+
+    private void call(InetSocketAddress to, String verb) {
+        int before = outcomes.size();
+        HttpMessage.Call call = new HttpMessage.Call(verb, "/", HttpHeaders.of("host", "x"), new byte[0]);
+        http.call(to, call, PATIENCE, new HttpClient.Taker() {
+            @Override
+            public void answered(HttpMessage.Answer answer) {
+                outcomes.add(new String(answer.body(), StandardCharsets.US_ASCII));
+            }
+
+            @Override
+            public void failed(HttpClient.Failure failure, String detail) {
+                outcomes.add(failure.name());
+            }
+        });
+        await().until(() -> outcomes.size() > before);
+    }
+
+    /** The end of the kept connection always crosses the second call. */
+    @ParameterizedTest
+    @CsvSource({"GET, two, 1", "POST, BROKEN, 1"})
+    void onlyWhatChangesNothingIsMadeOnceMoreOnAFreshConnection(String verb, String second, int crossed)
+            throws IOException {
+        try (CrossingServer server = new CrossingServer("one", "two")) {
+            call(server.at(), "GET");
+            call(server.at(), verb);
+            assertEquals(List.of("one", second), outcomes);
+            await().until(() -> server.crossed() == crossed);
+        }
+    }
+
+    @Test
+    void nothingIsHeldOfAddressesThatAreGone() throws IOException {
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        List<HttpServer> servers = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            HttpServer server = new HttpServer(1, HttpLimits.USUAL,
+                    (call, exchange) -> exchange.answer(HttpMessage.Answer.json(200, "{}")));
+            servers.add(server);
+            call(server.listen(new InetSocketAddress(local, 0)), "GET");
+        }
+        assertEquals(5, http.kept());
+        servers.forEach(HttpServer::close);
+        await().until(() -> http.kept() == 0);
+    }
+}
--- a/src/test/java/rosespread/platform/PlatformConfigTest.java
+++ b/src/test/java/rosespread/platform/PlatformConfigTest.java
@@ -34,6 +34,8 @@
         "\"sockets\":256 | \"sockets\":\"many\" | limits.sockets is not a number",
         "\"id\":\"s-1\" | \"id\":\"s,1\" | entry 0 of servers: id \"s,1\" can't be written in an order",
         "\"state\":\"SERVING\" | \"state\":\"UP\" | entry 0 of servers: state \"UP\" is not known",
+        "\"127.0.0.1:9\" | \"999.0.0.1:9\" | addr \"999.0.0.1:9\" is not like 10.0.0.4:3000",
+        "\"started_ms\":0 | \"started_ms\":1e300 | entry 0 of servers: weight or started_ms is out of range",
         "\"weight\":1.0 | \"weight\":-1 | entry 0 of servers: weight or started_ms is out of range",
         "\"limits\":{ | \"limits\":[ | is not JSON at line 2"})
     void aFaultNamesItsField(String good, String bad, String told) {
--- /dev/null
+++ b/src/test/java/rosespread/platform/PlatformCoreTest.java
@@ -0,0 +1,134 @@
+package rosespread.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import rosespread.api.NodeId;
+import rosespread.api.ProxyId;
+import rosespread.api.ZoneId;
+import rosespread.launch.LaunchException;
+
+/** What the decision thread keeps of streams, tickets and lists, driven by a clock of the test's own. */
+class PlatformCoreTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final ProxyId PROXY = new ProxyId(3);
+    private long now = 100 * SECOND;
+    private boolean faulty;
+    private final PlatformCore core;
+
+    PlatformCoreTest() throws LaunchException {
+        PlatformConfig config = Sample.parse(Sample.config("127.0.0.1:1", "127.0.0.1:2")
+                .replace("\"probes\":false", "\"probes\":true"));
+        core = new PlatformCore(config, new PlatformCore.World() {
+            @Override
+            public void probe(NodeId node, Target target) {
+                if (faulty) {
+                    throw new NoClassDefFoundError("on purpose, within a round");
+                }
+            }
+
+            @Override
+            public String seen() {
+                return "";
+            }
+        }, new Counts(), 0);
+    }
+
+    private static final class Stream implements Wire {
+        final List<String> written = new ArrayList<>();
+        boolean closed;
+
+        @Override
+        public void write(byte[] message) {
+            written.add(new String(message, StandardCharsets.UTF_8).replaceAll("\r\n(\\$[0-9]+\r\n)?", " "));
+        }
+
+        @Override
+        public long unwritten() {
+            return 0;
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+        }
+
+        int ticket() {
+            Matcher ticket = Pattern.compile("ticket ([0-9]+)").matcher(written.get(written.size() - 1));
+            assertTrue(ticket.find(), written.toString());
+            return Integer.parseInt(ticket.group(1));
+        }
+    }
+
+    private Stream join() {
+        Stream stream = new Stream();
+        core.joined(now, stream, new Message.Join(PROXY, new ZoneId(0), 5, true));
+        return stream;
+    }
+
+    private void run(double seconds) {
+        for (long until = now + Math.round(seconds * SECOND); now < until; now += SECOND / 50) {
+            core.turn(now);
+        }
+    }
+
+    private void done(Wire stream, int ticket) {
+        core.done(now, stream, new Message.Done(PROXY, ticket, SECOND / 10));
+    }
+
+    @Test
+    void aModuleThatFailsAgainAndAgainTakesNoAnswerOfAnEarlierOne() {
+        Stream stream = join();
+        run(0.2);
+        int first = stream.ticket();
+        for (int fault = 1; fault <= 9; fault++) {
+            int before = stream.written.size();
+            faulty = true;
+            run(5);
+            faulty = false;
+            run(2);
+            assertTrue(stream.written.size() > before, "the new module binds it again");
+            done(stream, first);
+            assertTrue(core.seen().contains(" stray " + fault + " "), "after fault " + fault);
+        }
+        done(stream, stream.ticket());
+        assertTrue(core.seen().contains(" stray 9 "));
+    }
+
+    @Test
+    void theLateEndOfAStreamThatWasReplacedTakesNothingAcrossAModuleBegunAnew() {
+        Stream old = join();
+        run(0.2);
+        Stream fresh = join();
+        assertTrue(old.closed);
+        faulty = true;
+        run(5);
+        faulty = false;
+        run(2);
+        core.closed(now, old, PROXY);
+        done(old, fresh.ticket());
+        assertTrue(core.seen().startsWith("joined 1 bound 1 "), "the fresh stream stands");
+        assertTrue(core.seen().contains(" stray 1 "));
+        core.closed(now, fresh, PROXY);
+        assertTrue(core.seen().startsWith("joined 0 "));
+    }
+
+    @Test
+    void aWholeListWithoutANodeTakesNothingAway() {
+        Stream stream = join();
+        run(1);
+        done(stream, stream.ticket());
+        run(1);
+        int before = stream.written.size();
+        core.list(now, new TargetList(9, true, List.of()));
+        run(2);
+        assertTrue(core.seen().contains(" listed 1 "));
+        assertEquals(before, stream.written.size(), stream.written.toString());
+    }
+}
--- a/src/test/java/rosespread/platform/ServeTest.java
+++ b/src/test/java/rosespread/platform/ServeTest.java
@@ -190,6 +190,17 @@
         proxy.hears("hb_ok");
     }
 
+    @Test
+    void whatComesAlongWithWhatWasRejectedIsNotTaken() throws IOException {
+        Peer bad = peer();
+        bad.raw(("*3~$6~attach~$4~node~$2~99~*9~$6~attach~$4~node~$1~8~$8~locality~$1~a~$1~w~$1~5~$4~cold~$1~1~")
+                .replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII));
+        bad.hears("reject");
+        joined(9);
+        await().atMost(PATIENCE).until(() -> log().contains("proxy 9 joined"));
+        assertEquals(false, log().contains("proxy 8 joined"));
+    }
+
     @Test
     void hundredsOfSilentStrangersLeaveRoomForAProxy() throws IOException {
         for (int i = 0; i < 400; i++) {
