A crowd that may hold nodes that left is bound light within its grace; young nodes cost no line

Shutting out up to 100 nodes for each cost 4 s of channel more; a restarted conductor can't name nodes it was never told of (report drops "unknown" grew). Ruled out: a slow channel (bytes written fit 1,200 lines a second), lost answers.

At fault: Brain.bindOwed/deliver (whole tables only, ordinary lines before them) and PlatformCore.list (restless). Now proxies that can't all be bound within half a grace, while something left within two, gather in groups that nobody is bound in; those tables are laid with a part of the lines, each with others, the rest follows as deliveries; meanwhile only what presses goes before them. What added to shut() for that is out again. Only a node that leaves, or starts anew after it was listed, is let back. Lines wanted are worked out once for all groups.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -17,7 +17,6 @@
 public final class Brain {
     /** Units of time; the module looks once a tick when nothing comes in. */
     private static final long SECOND = 1_000_000_000L, NEVER = Long.MIN_VALUE / 2, TICK = SECOND / 10;
-
     /** Load is averaged over so many reports, or answers if that takes longer; demand moves sooner. */
     private static final double WINDOW_REPORTS = 20, WINDOW_ANSWERS = 80, DEMAND_REPORTS = 2.5;
     /** What like machines showed counts as so many answers of a node's own when its size is estimated. */
@@ -31,7 +30,6 @@
     private static final double LEAN = 1.3, LEAST_LEAN = 0.25, LEAN_PACE = 0.05, MOST_SLACK = 0.6;
     /** A line is committed anew when it differs by more than this part. */
     private static final double LINE_BAND = 0.07;
-
     /** Evidence of health: how fast it decays, what a probe counts, what suffices, from what share. */
     private static final long HEALTH_WINDOW = 3 * SECOND;
     private static final double PROBE_TRIES = 3, LEAST_EVIDENCE = 7, SICK_SHARE = 0.35;
@@ -46,7 +44,6 @@
     private static final long PROBE_SUSPECT = SECOND, PROBE_EVERY = 4 * SECOND;
     /** Cold nodes are sent at most this multiple of what they can do by now; the load taken while unheard. */
     private static final double COLD_LOAD = 1.2, UNHEARD_LOAD = 5;
-
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND, DELIVERY_GAP = SECOND / 2;
     /** Parts of the channel for ordinary deliveries, at what price, for heads usually and at most. */
@@ -57,8 +54,9 @@
     private static final double PART_WHOLE = 0.8, PART_DRAIN = 0.9;
     /** Whole tables wait here, not in the channel; the least group; graces that a gone node may be held. */
     private static final long BIND_DEPTH = SECOND / 2, LEAST_GROUP = 8;
-    private static final long LEFT_GRACES = 4;
-
+    private static final long LEFT_GRACES = 2;
+    /** The most parts that a light table's lines are dealt in, and the least lines of a part. */
+    private static final int MOST_PARTS = 5, LEAST_LIGHT = 8;
     /** Levels: how often set, the load kept to, what fall does not wait, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, LEVEL_FALLS = 0.75;
@@ -75,9 +73,10 @@
     private final Sum covers = new Sum(5 * SECOND), coverCount = new Sum(5 * SECOND);
     private final TreeMap<ProxyId, Double> turn = new TreeMap<>();
     private final List<Long> spokenAt = new ArrayList<>();
+    private final Set<Integer> boundGroups = new TreeSet<>();
     private Orders orders;
     private long now, sequence, nextStep, nextLevel, freeAt;
-    private boolean started, listLost, awake, crowded, shedding, told;
+    private boolean started, listLost, awake, crowded, crowd, shedding, told;
     private double slack, window, unit = Double.NaN;
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
 
@@ -117,17 +116,18 @@
     }
 
     /** The emptiest group; a new one once all are so large that a delivery of every line would not fit. */
-    private int groupToJoin() {
+    private int groupToJoin(Set<Integer> but) {
         double lines = headAndMark() + of(0).stream().mapToInt(t -> open(t).size()).sum();
         int[] members = new int[spokenAt.size()];
         proxies.values().forEach(p -> members[p.group]++);
         double most = Math.max(LEAST_GROUP, PART_DELIVERY * settings.queueLimit() / lines);
-        if (Arrays.stream(members).allMatch(m -> m + 1 > most)) {
-            layOutTables(members.length);
-            return members.length;
+        int emptiest = IntStream.range(0, members.length).boxed()
+                .filter(g -> !but.contains(g) && members[g] + 1 <= most)
+                .min(Comparator.comparing(g -> members[g])).orElse(members.length);
+        if (emptiest == members.length) {
+            layOutTables(emptiest);
         }
-        return IntStream.range(0, members.length).boxed()
-                .min(Comparator.comparing(g -> members[g])).orElseThrow();
+        return emptiest;
     }
 
     /** Decides one round: {@code feed} brings what came in, {@code out} takes the orders. */
@@ -145,31 +145,28 @@
         if (settings.listOnDemand() && (!started || listLost)) {
             orders.followList();
         }
-        boolean look = awake || !started;
+        awake |= !started;
         started = true;
         listLost = false;
-        awake = false;
-        if (look) {
+        if (awake) {
+            awake = false;
             orders.wakeAfter(TICK);
             estimate();
             judge();
             probe();
             commitLevels();
         }
+        gatherCrowd();
         commit();
         settle();
         crowded = false;
         IntStream.range(0, spokenAt.size()).boxed().sorted(Comparator.comparing(spokenAt::get)).toList()
                 .forEach(this::deliver);
-        if (look) {
-            shutOut();
-        }
         bindOwed();
         closeTurn();
     }
 
     // ---- observe ----
-
     /** A sum that decays with time, brought up to date when it is read. */
     private static final class Sum {
         private double constant, value;
@@ -238,7 +235,8 @@
         Rate load, latency, busy;
         Sum tries, unanswered;
         boolean sick, stepped;
-        long sickSince, probedAt, answeredAt = NEVER, removedAt = NEVER, leftAt = NEVER, withdrawnAt = NEVER;
+        long sickSince, probedAt, answeredAt = NEVER, removedAt = NEVER, leftAt = NEVER;
+        boolean withdrawn;
 
         Node(NodeId id) {
             this.id = id;
@@ -256,8 +254,7 @@
 
         /**
          * A cold node stays out of the tables until what old ones sent it lies behind: guards against a
-         * conductor that restarts as a lost site returns, and a list that flaps; it keeps a node idle for a
-         * few seconds where nobody had sent there.
+         * restart as a lost site returns, and a list that flaps; some nodes are idle for seconds by it.
          */
         boolean usable() {
             return ready() && (!cold() || now - removedAt > settings.drainGrace() + settings.coldWindow());
@@ -299,7 +296,7 @@
         final ProxyId id;
         final ZoneId zone;
         final double rate;
-        final int group;
+        int group;
         final long joinedAt = now;
         final TreeMap<MethodId, Rate> offered = new TreeMap<>();
         final ArrayDeque<Message> unanswered = new ArrayDeque<>();
@@ -319,9 +316,7 @@
         }
 
         int messages() {
-            while (!written.isEmpty() && now - written.peekFirst() > settings.messageSpan()) {
-                written.removeFirst();
-            }
+            written.removeIf(at -> now - at > settings.messageSpan());
             return written.size();
         }
     }
@@ -338,7 +333,7 @@
                 pending = new TreeMap<>();
         final TreeMap<MethodId, Double> levels = new TreeMap<>(), pendingLevels = new TreeMap<>();
         final TreeSet<ProxyId> inFlight = new TreeSet<>();
-        long version, flightSequence, sentAt = NEVER;
+        long version, flightSequence, sentAt = NEVER, parts = 1;
         boolean panic, abrupt;
 
         Table(TableId id, int group, Settings.Method like, ZoneId home) {
@@ -405,7 +400,7 @@
         @Override
         public void proxyJoined(ProxyId id, ZoneId zone, double rate) {
             proxyLeft(id);
-            proxies.put(id, new Proxy(id, zone, rate, groupToJoin()));
+            proxies.put(id, new Proxy(id, zone, rate, groupToJoin(Set.of())));
         }
 
         @Override
@@ -423,9 +418,7 @@
             if (sequence == 0) {
                 return;
             }
-            while (!proxy.unanswered.isEmpty() && proxy.unanswered.peekFirst().sequence() <= sequence) {
-                proxy.unanswered.removeFirst();
-            }
+            proxy.unanswered.removeIf(m -> m.sequence() <= sequence);
             proxy.answered = sequence;
             lag.add(now, took);
             lagCount.add(now, 1);
@@ -484,7 +477,6 @@
     }
 
     // ---- estimate ----
-
     private static double perSecond(Map<ZoneId, Rate> byZone) {
         return byZone.values().stream().mapToDouble(Rate::perSecond).sum();
     }
@@ -511,7 +503,7 @@
                 double spare = Math.max(0, Math.min(MOST_SLACK, 1 - loadRatio()));
                 slack = shedding ? 0 : Math.min(slack + LEAN_PACE, spare);
             }
-            ready().stream().filter(n -> fresh(n, now) || n.answeredAt == NEVER)
+            ready().stream().filter(n -> !n.sick && (fresh(n, now) || n.answeredAt == NEVER))
                     .forEach(node -> step(node, load(node, meanLatency)));
         }
     }
@@ -540,16 +532,12 @@
 
     /**
      * Steps a weight towards what the node answers for its load, over a part of the gap; all of it at the
-     * first step of the nodes there at a start, once enough was heard to tell kinds apart: guards against
-     * seconds in which small machines take as much as large ones, and queues that outlast them. Without fresh
-     * answers the weight stays: guards against late or missing sums being read as a change of the machine.
-     * A node that answers later than its like is not held to be larger than that allows: guards against
-     * reports that show less load than there is, and any slowing that utilization hides.
+     * first step of the nodes there at a start: guards against small machines that take as much as large
+     * ones. Without fresh answers it stays: guards against late sums being read as a change of the machine. A
+     * node that answers later than its like is not held to be larger: guards against reports that show too
+     * little load.
      */
     private void step(Node node, double load) {
-        if (node.sick) {
-            return;
-        }
         double prior = unitOfKind.getOrDefault(node.kind, unit) * node.listed;
         double answers = node.answered.values().stream().mapToDouble(r -> r.count.read(now)).sum();
         double rate = perSecond(node.answered);
@@ -580,8 +568,9 @@
      * Guards against few nodes that carry all while the lines of returned ones wait for a slow channel.
      */
     private double able() {
-        return unit * tables.stream().mapToDouble(table -> open(table).stream()
-                .filter(n -> table.laid.containsKey(n.id))
+        return unit * of(0).stream().mapToDouble(table -> open(table).stream()
+                .filter(n -> tables.stream().anyMatch(t -> t.serves(table.like, table.home)
+                        && t.laid.containsKey(n.id)))
                 .mapToDouble(n -> n.size() * present(n, table)).sum()).max().orElse(0);
     }
 
@@ -598,12 +587,11 @@
     }
 
     // ---- judge health ----
-
     /**
      * A node is sick when its unanswered share stands out from the others': guards against nodes that abort,
-     * hang or are lost before the list tells. A busy node that answers is overloaded: taking it out would
-     * push the others over. It does harm if a few RPCs cost far more than usual at one node only; the trickle
-     * and the trial bring such a node back.
+     * hang or are lost before the list tells. One that is busy and answers is overloaded: without it the
+     * others would be pushed over. It does harm if few RPCs cost far more at one node; a trickle and a trial
+     * remain.
      */
     private void judge() {
         double tries = ready().stream().mapToDouble(n -> n.tries.read(now)).sum();
@@ -660,19 +648,21 @@
     }
 
     // ---- commit ----
-
     /**
      * Commits what truly differs, each change with the table's one pending delivery. What counts as different
      * grows with the seconds of channel that a whole new table for all proxies would take.
      */
     private void commit() {
         double load = loadRatio();
-        List<Table> byRoom = new ArrayList<>(tables);
+        List<Table> byRoom = new ArrayList<>(of(0));
         byRoom.sort(Comparator.comparingInt(t -> open(t).size()));
-        TreeMap<Integer, Map<NodeId, Double>> spoken = new TreeMap<>();
-        for (Table table : byRoom) {
-            Map<NodeId, Double> wanted =
-                    wanted(table, load, spoken.computeIfAbsent(table.group, g -> new TreeMap<>()));
+        Map<NodeId, Double> spoken = new TreeMap<>();
+        byRoom.forEach(table -> commit(table, wanted(table, load, spoken)));
+    }
+
+    private void commit(Table like, Map<NodeId, Double> alike) {
+        for (Table table : tables.stream().filter(t -> t.serves(like.like, like.home)).toList()) {
+            Map<NodeId, Double> wanted = new TreeMap<>(alike);
             double band = LINE_BAND * (1 + 0.5 * wanted.size() * proxies.size() / settings.linesPerSecond());
             table.committed.keySet().forEach(id -> wanted.putIfAbsent(id, 0.0));
             boolean changed = false;
@@ -689,11 +679,7 @@
     }
 
     private static void put(Map<NodeId, Double> lines, NodeId id, double weight) {
-        if (weight > 0) {
-            lines.put(id, weight);
-        } else {
-            lines.remove(id);
-        }
+        lines.compute(id, (same, old) -> weight > 0 ? Double.valueOf(weight) : null);
     }
 
     /** A newer change overwrites the pending one; one that leads back to what is laid drops out. */
@@ -709,8 +695,7 @@
     /**
      * Each open node by its size, what more restricted tables take of it, its warmth and its health. The
      * bound on cold nodes guards against a site that returns cold into a storm of repeats, also under a
-     * conductor that has just started and has heard no sums; it does harm where the warm nodes are the
-     * overloaded ones.
+     * conductor that has just started; it does harm where the warm nodes are the overloaded ones.
      */
     private Map<NodeId, Double> wanted(Table table, double load, Map<NodeId, Double> spoken) {
         List<Node> open = open(table);
@@ -726,7 +711,7 @@
             wanted.put(node.id, Math.max(weight, 1e-4));
         }
         double sum = wanted.values().stream().mapToDouble(w -> w).sum();
-        double share = demand(table) / unit;
+        double share = table.methods.stream().mapToDouble(this::demand).sum() / unit;
         if (of(0).size() > 1 && !Double.isNaN(share)) {
             wanted.forEach((id, weight) -> spoken.merge(id, share * weight / sum, Double::sum));
         }
@@ -748,7 +733,6 @@
     }
 
     // ---- deliver ----
-
     /** How long a proxy has to answer: stretched by the lag met and by what the channel may still hold. */
     private long patience() {
         double met = lag.read(now) / Math.max(1, lagCount.read(now));
@@ -781,9 +765,7 @@
         for (Table table : tables) {
             if (!table.inFlight.isEmpty() && now - table.sentAt > patience) {
                 orders.log("table " + table.id.value() + " version " + table.version + ": "
-                        + table.inFlight.size() + " proxies owe an answer after "
-                        + figure(patience / (double) SECOND) + " s, " + figure(waiting())
-                        + " lines out; bound again");
+                        + table.inFlight.size() + " proxies owe an answer; bound again");
                 table.inFlight.stream().map(proxies::get)
                         .forEach(proxy -> proxy.owed |= proxy.wholeSequence < table.flightSequence);
                 table.inFlight.clear();
@@ -796,9 +778,47 @@
         }
     }
 
+    /**
+     * Proxies bring tables of another conductor, and keep what left lately in them until they are bound.
+     * Where that takes over half a grace for all that wait, they gather in groups that nobody is bound in,
+     * whose tables are laid light, each with other lines; the rest follows. Guards against sends to nodes
+     * that left when a crowd comes; it does harm where a part's nodes are slow.
+     */
+    private void gatherCrowd() {
+        int full = of(0).stream().mapToInt(t -> open(t).size()).sum();
+        double soon = settings.linesPerSecond() * settings.drainGrace() / 2 / SECOND - waiting();
+        double each = soon / Math.max(1, unbound().size()) - headAndMark();
+        crowd = !unbound().isEmpty() && each < full && nodes.values().stream()
+                .anyMatch(n -> !n.ready() && now - n.leftAt < LEFT_GRACES * settings.drainGrace());
+        int parts = (int) Math.max(1, Math.min(MOST_PARTS, full / Math.max(1, each)));
+        boundGroups.clear();
+        proxies.values().stream().filter(p -> p.bound).forEach(p -> boundGroups.add(p.group));
+        unbound().stream().filter(p -> crowd && boundGroups.contains(p.group))
+                .forEach(p -> p.group = groupToJoin(boundGroups));
+        tables.forEach(t -> t.parts = crowd && !boundGroups.contains(t.group) ? parts
+                : t.pending.isEmpty() ? 1 : t.parts);
+    }
+
+    /** Lays a table anew that nobody is bound to, so that it costs nothing. */
+    private void layLight(Table table) {
+        long parts = Math.max(1, Math.min(table.parts, table.committed.size() / LEAST_LIGHT));
+        Set<NodeId> all = new TreeSet<>(table.laid.keySet());
+        all.addAll(table.committed.keySet());
+        int place = table.group;
+        for (NodeId id : all) {
+            double wanted = table.committed.getOrDefault(id, 0.0);
+            double weight = place++ % parts == 0 ? wanted : 0;
+            if (table.laid.getOrDefault(id, 0.0) != weight) {
+                orders.line(table.id, id, weight);
+            }
+            put(table.laid, id, weight);
+            put(table.pending, id, weight == wanted ? 0 : wanted);
+        }
+    }
+
     /**
      * Joined proxies and laggards get whole tables, the busiest first, but those that wait for half a grace
-     * before all: guards against a proxy that follows another's table, with a node that leaves, for too long.
+     * before all: guards against a node that leaves and stays too long in the table of another.
      */
     private void bindOwed() {
         List<Proxy> owed = new ArrayList<>(proxies.values().stream().filter(p -> p.owed).toList());
@@ -807,24 +827,19 @@
         double depth = settings.linesPerSecond() * (BIND_DEPTH + settings.longestWay() / 2) / SECOND;
         crowded |= tables.stream().anyMatch(t -> drained(t) > 0);
         double part = Math.min(crowded ? PART_CROWDED : PART_WHOLE, depth / settings.queueLimit());
+        tables.stream().filter(t -> crowd && !boundGroups.contains(t.group)).forEach(this::layLight);
         if (!owed.isEmpty()) {
             tables.stream().filter(t -> t.laid.isEmpty()).forEach(t -> send(t, Integer.MAX_VALUE));
         }
         for (Proxy proxy : owed) {
-            double lines = 0;
-            for (Table table : tables) {
-                lines += table.usedBy(proxy) ? 1 + table.laid.size() + table.methods.size() : 0;
-            }
-            double room = room(proxy.late() ? Math.max(part, PART_DELIVERY) : part) - headAndMark();
-            if (!mayWrite(proxy, PART_WHOLE) || room < lines
-                    || tables.stream().allMatch(t -> t.laid.isEmpty())) {
+            List<Table> own = tables.stream().filter(t -> t.usedBy(proxy) && !t.laid.isEmpty()).toList();
+            double lines = own.stream().mapToDouble(t -> 1 + t.laid.size() + t.methods.size()).sum();
+            double most = crowd ? PART_URGENT : proxy.late() ? Math.max(part, PART_DELIVERY) : part;
+            double room = room(most) - headAndMark();
+            if (!mayWrite(proxy, PART_WHOLE) || room < lines || own.isEmpty()) {
                 continue;
             }
-            for (Table table : tables) {
-                if (table.usedBy(proxy) && !table.laid.isEmpty()) {
-                    orders.bind(proxy.id, table.methods, table.id);
-                }
-            }
+            own.forEach(table -> orders.bind(proxy.id, table.methods, table.id));
             reach(proxy, lines);
             proxy.bound = true;
             proxy.owed = false;
@@ -836,8 +851,7 @@
     /**
      * Sends each table's pending delivery if none is in flight; what does not fit the budget stays pending.
      * All tables' deliveries share a turn, and turns are spaced so that heads leave the channel to lines:
-     * guards against many small changes, such as nodes of a site that leave and return one by one, which
-     * would fill the queue and use up the messages. It makes single changes wait for company.
+     * guards against many small changes that fill the queue and use up messages; single changes wait.
      */
     private void deliver(int group) {
         List<Table> due = of(group).stream()
@@ -847,12 +861,13 @@
         boolean urgent = due.stream().anyMatch(this::urgent);
         boolean drain = due.stream().anyMatch(t -> drained(t) > 0);
         double part = drain ? PART_DRAIN : urgent ? PART_URGENT : PART_DELIVERY;
-        if (now - spokenAt.get(group) < gap(part, due, bound) || !urgent && now < freeAt
+        boolean paced = !urgent && due.stream().noneMatch(t -> t.parts > 1);
+        if (now - spokenAt.get(group) < gap(part, due, bound) || paced && now < freeAt
                 || bound.stream().anyMatch(p -> !mayWrite(p, part))) {
             return;
         }
         for (Table table : due) {
-            if (!table.inFlight.isEmpty() && !urgent(table)) {
+            if ((crowd || !table.inFlight.isEmpty()) && !urgent(table) || crowd && bound.isEmpty()) {
                 continue;
             }
             boolean first = bound.stream().noneMatch(p -> turn.containsKey(p.id));
@@ -862,6 +877,9 @@
                     .mapToDouble(t -> (drained(t) + headAndMark()) * users(t).size()).sum();
             int fit = (int) Math.floor(Math.max((room(PART_DELIVERY) - kept) / users - head,
                     Math.min(drained(table), room(PART_DRAIN) / users - head)));
+            boolean wait = crowd || table.parts > 1 && waiting() > settings.linesPerSecond();
+            double rest = Math.max(3 * headAndMark(), settings.linesPerSecond() / users);
+            fit = (int) Math.min(fit, pressing(table) + (wait ? 0 : table.parts > 1 ? rest : fit));
             double least = urgent(table) || waiting() == 0 ? 0
                     : Math.min(table.pending.size(), settings.linesPerMessage());
             if (bound.isEmpty() || fit >= least && fit + table.pendingLevels.size() > 0) {
@@ -886,14 +904,17 @@
     }
 
     /**
-     * Changes that do not wait for a delivery in flight: a node that left, a cold node still held at a higher
-     * weight (a restart under an old line), a table without a ready node, a level that falls or is lifted
-     * (what is pushed back for nothing comes back as repeats).
+     * Does not wait for a delivery in flight: a node that left, a cold node still held at a higher weight (a
+     * restart under an old line), no ready node, a level that falls or is lifted (refusals come back).
      */
     private boolean urgent(Table table) {
-        return drained(table) > 0 || table.abrupt
-                || table.laid.keySet().stream().noneMatch(id -> nodes.get(id).ready())
-                || table.pending.keySet().stream().anyMatch(id -> tooHigh(table, id));
+        return pressing(table) > 0 || table.abrupt
+                || table.laid.keySet().stream().noneMatch(id -> nodes.get(id).ready());
+    }
+
+    private int pressing(Table table) {
+        return (int) table.pending.keySet().stream()
+                .filter(id -> !nodes.get(id).ready() || tooHigh(table, id)).count();
     }
 
     private boolean tooHigh(Table table, NodeId id) {
@@ -940,27 +961,10 @@
     /** Proxies not yet bound may hold a node that left: for them it is shut out until it is laid again. */
     private void shut(Node node) {
         boolean held = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
-        List<Proxy> untold = unbound().stream().filter(p -> held || p.joinedAt > node.withdrawnAt).toList();
-        if (held ? node.withdrawnAt > NEVER : !node.ready() && !untold.isEmpty()) {
-            node.withdrawnAt = held ? NEVER : now;
-            orders.withdraw(node.id, !held);
-            untold.forEach(proxy -> reach(proxy, 1));
-        }
-    }
-
-    /**
-     * Proxies that can't all be bound within half a grace are told at least what left lately, which costs far
-     * less: guards against nodes of another conductor's tables that none here ever named and so none removes.
-     */
-    private void shutOut() {
-        double soon = settings.linesPerSecond() * settings.drainGrace() / 2 / SECOND;
-        double whole = unbound().size() * (headAndMark() + ready().size()) + waiting();
-        if (whole > soon || unbound().stream().anyMatch(Proxy::late)) {
-            nodes.values().stream().filter(n -> !n.ready())
-                    .filter(n -> now - n.leftAt < LEFT_GRACES * settings.drainGrace())
-                    .filter(n -> unbound().size() * (headAndMark() + 1) < room(PART_DRAIN))
-                    .filter(n -> unbound().stream().allMatch(p -> mayWrite(p, PART_DRAIN)))
-                    .forEach(this::shut);
+        if (node.withdrawn ? held : !held && !node.ready() && !unbound().isEmpty()) {
+            node.withdrawn = !held;
+            orders.withdraw(node.id, node.withdrawn);
+            unbound().forEach(proxy -> reach(proxy, 1));
         }
     }
 
@@ -987,11 +991,6 @@
     }
 
     // ---- levels ----
-
-    private double demand(Table table) {
-        return table.methods.stream().mapToDouble(this::demand).sum();
-    }
-
     /** Proxies that no sum has told of yet, such as ones just joined, count by their usual rate. */
     private double demand(MethodId method) {
         double heard = 0, usual = 0, all = 0;
@@ -1030,13 +1029,12 @@
     }
 
     /**
-     * What is offered counts repeats of what was pushed back, and grows at once where proxies come from
-     * another conductor, while what nodes can do is learned slowly: shedding would bring about the load that
-     * it is meant for and go on by itself. Guards against that by what the nodes say of themselves, and by
-     * waiting after a start until enough was heard; it sheds late where their reports are late.
+     * What is offered counts repeats of what was pushed back, and grows at once where proxies come, while
+     * what nodes can do is learned slowly: shedding would go on by itself. Guards against that by what nodes
+     * say of themselves, and by waiting after a start; it sheds late where reports are late.
      */
     private void judgeLoad() {
-        double offered = of(0).stream().mapToDouble(this::demand).sum();
+        double offered = of(0).stream().flatMap(t -> t.methods.stream()).mapToDouble(this::demand).sum();
         double able = able();
         double ratio = Double.isNaN(unit) ? 0 : offered / Math.max(able, 1e-9);
         boolean shed = settings.throttle() != Settings.Throttle.NONE && told
--- a/src/main/java/rosespread/platform/PlatformCore.java
+++ b/src/main/java/rosespread/platform/PlatformCore.java
@@ -124,6 +124,11 @@
         }
         Map<NodeId, Target> told = new TreeMap<>();
         list.targets().forEach(target -> told.put(nodes.give(target.name()), target));
+        told.forEach((id, target) -> {
+            if (mayBeShutOut(target, listed.get(id))) {
+                restless.add(id);
+            }
+        });
         if (whole) {
             listed.keySet().stream().filter(id -> !told.containsKey(id)).forEach(restless::add);
             listed.clear();
@@ -134,9 +139,6 @@
             } else {
                 listed.put(id, target);
             }
-            if (target.state() != Observer.NodeState.READY || target.startedMillis() > 0) {
-                restless.add(id);
-            }
         });
         tellList(kind, told);
         LOG.info("list {} version {}: {} told, {} listed, {} draining", kind, list.version(), told.size(),
@@ -144,6 +146,16 @@
                         .filter(target -> target.state() == Observer.NodeState.DRAINING).count());
     }
 
+    /**
+     * Whether some conductor may have shut it out: it leaves, or has started anew since it was listed. That it
+     * is young says nothing: a release brings new nodes under new names, and a line of a message for each of
+     * them at each proxy would fill the channel for nothing.
+     */
+    private static boolean mayBeShutOut(Target target, Target before) {
+        return target.state() != Observer.NodeState.READY
+                || before != null && before.startedMillis() != target.startedMillis();
+    }
+
     private void tellList(Observer.ListKind kind, Map<NodeId, Target> told) {
         rounds.add(observer -> observer.listBegins(kind));
         told.forEach((id, target) -> {
--- a/src/test/java/rosespread/platform/PlatformCoreTest.java
+++ b/src/test/java/rosespread/platform/PlatformCoreTest.java
@@ -131,4 +131,20 @@
         assertTrue(core.seen().contains(" listed 1 "));
         assertEquals(before, stream.written.size(), stream.written.toString());
     }
+
+    /** A node under a new name was never shut out; one that started anew may have been, by another conductor. */
+    @Test
+    void aYoungNodeIsLetBackOnlyIfItWasThereBefore() throws LaunchException {
+        String young = Sample.node("s-2", "SERVING").replace("\"started_ms\":0", "\"started_ms\":5000");
+        String again = Sample.node("s-1", "SERVING").replace("\"started_ms\":0", "\"started_ms\":5000");
+        for (String node : List.of(young, again)) {
+            core.list(now, TargetList.parse(("{\"version\":8,\"full\":false,\"servers\":[" + node + "]}")
+                    .getBytes(StandardCharsets.UTF_8)));
+        }
+        run(20);
+        Stream stream = join();
+        run(1);
+        assertTrue(stream.written.get(0).contains("s-2:"), stream.written.toString());
+        assertTrue(stream.written.get(0).contains(" back s-1 "), stream.written.toString());
+    }
 }
