--- /dev/null
+++ b/src/test/java/rosespread/platform/PeerStandin.java
@@ -0,0 +1,70 @@
+package rosespread.platform;
+
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import rosespread.resp.RespException;
+import rosespread.resp.RespLimits;
+import rosespread.resp.RespParser;
+import rosespread.resp.RespWriter;
+
+/** One connection to the conductor: all that it brings is kept. */
+final class PeerStandin {
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+    final List<List<String>> heard = new CopyOnWriteArrayList<>();
+    final Socket socket;
+    volatile boolean ended;
+
+    PeerStandin(int port) throws IOException {
+        socket = new Socket("127.0.0.1", port);
+        Thread thread = new Thread(this::read, "peer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void read() {
+        RespParser parser = new RespParser(new RespLimits(1 << 20, 256), heard::add);
+        byte[] bytes = new byte[4096];
+        try (InputStream in = socket.getInputStream()) {
+            for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
+                parser.feed(ByteBuffer.wrap(bytes, 0, count));
+            }
+        } catch (IOException | RespException e) {
+            heard.add(List.of("broken", String.valueOf(e)));
+        }
+        ended = true;
+    }
+
+    void say(String words) throws IOException {
+        raw(RespWriter.bytes(List.of(words.split(" "))));
+    }
+
+    void raw(byte[] bytes) throws IOException {
+        try {
+            socket.getOutputStream().write(bytes);
+        } catch (SocketException e) {
+            ended = true;
+        }
+    }
+
+    /** The first message with all these words in a row, once it is there. */
+    List<String> hears(String words) {
+        await().atMost(PATIENCE).until(() -> heard.stream().anyMatch(m -> joined(m).contains(words)));
+        return heard.stream().filter(m -> joined(m).contains(words)).findFirst().orElseThrow();
+    }
+
+    private static String joined(List<String> words) {
+        return String.join(" ", words);
+    }
+
+    int ticket(List<String> message) {
+        return Integer.parseInt(message.get(message.indexOf("ticket") + 1));
+    }
+}
--- a/src/test/java/rosespread/platform/ServeTest.java
+++ b/src/test/java/rosespread/platform/ServeTest.java
@@ -5,18 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -24,10 +20,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import rosespread.resp.RespException;
-import rosespread.resp.RespLimits;
-import rosespread.resp.RespParser;
-import rosespread.resp.RespWriter;
 
 /** {@code serve} as a process, against small stand-ins of discovery, collectors and proxies on loopback. */
 class ServeTest {
@@ -38,63 +30,10 @@
     private DiscoveryStandin discovery;
     private Process process;
     private int port;
-    private final List<Peer> peers = new ArrayList<>();
-
-    /** One connection to the conductor: all that it brings is kept. */
-    private static final class Peer {
-        final List<List<String>> heard = new CopyOnWriteArrayList<>();
-        final Socket socket;
-        volatile boolean ended;
-
-        Peer(int port) throws IOException {
-            socket = new Socket("127.0.0.1", port);
-            Thread thread = new Thread(this::read, "peer");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void read() {
-            RespParser parser = new RespParser(new RespLimits(1 << 20, 256), heard::add);
-            byte[] bytes = new byte[4096];
-            try (InputStream in = socket.getInputStream()) {
-                for (int count = in.read(bytes); count >= 0; count = in.read(bytes)) {
-                    parser.feed(ByteBuffer.wrap(bytes, 0, count));
-                }
-            } catch (IOException | RespException e) {
-                heard.add(List.of("broken", String.valueOf(e)));
-            }
-            ended = true;
-        }
-
-        void say(String words) throws IOException {
-            raw(RespWriter.bytes(List.of(words.split(" "))));
-        }
-
-        void raw(byte[] bytes) throws IOException {
-            try {
-                socket.getOutputStream().write(bytes);
-            } catch (SocketException e) {
-                ended = true;
-            }
-        }
-
-        /** The first message with all these words in a row, once it is there. */
-        List<String> hears(String words) {
-            await().atMost(PATIENCE).until(() -> heard.stream().anyMatch(m -> joined(m).contains(words)));
-            return heard.stream().filter(m -> joined(m).contains(words)).findFirst().orElseThrow();
-        }
-
-        private static String joined(List<String> words) {
-            return String.join(" ", words);
-        }
-
-        int ticket(List<String> message) {
-            return Integer.parseInt(message.get(message.indexOf("ticket") + 1));
-        }
-    }
+    private final List<PeerStandin> peers = new ArrayList<>();
 
-    private Peer peer() throws IOException {
-        Peer peer = new Peer(port);
+    private PeerStandin peer() throws IOException {
+        PeerStandin peer = new PeerStandin(port);
         peers.add(peer);
         return peer;
     }
@@ -127,7 +66,7 @@
 
     @AfterEach
     void stop() throws IOException, InterruptedException {
-        for (Peer peer : peers) {
+        for (PeerStandin peer : peers) {
             peer.socket.close();
         }
         process.destroyForcibly().waitFor();
@@ -140,8 +79,8 @@
         discovery.change(Sample.node(node, "DRAINING"));
     }
 
-    private Peer joined(int proxy) throws IOException {
-        Peer peer = peer();
+    private PeerStandin joined(int proxy) throws IOException {
+        PeerStandin peer = peer();
         peer.say("attach node " + proxy + " locality a w 5 cold 1");
         peer.hears("whole 1");
         return peer;
@@ -149,11 +88,11 @@
 
     @Test
     void aProxyJoinsAnswersAndIsToldOfADrain() throws IOException {
-        Peer proxy = joined(3);
+        PeerStandin proxy = joined(3);
         List<String> whole = proxy.hears("whole 1");
         assertTrue(whole.contains("ticket") && String.join(" ", whole).contains("s-1:"), whole.toString());
         proxy.say("done node 3 nonce " + proxy.ticket(whole) + " latency 12.5");
-        Peer collector = peer();
+        PeerStandin collector = peer();
         collector.say("telemetry locality a");
         collector.say("upstream_stats locality a endpoint s-1 total 5 errors 9 rtt 3 interval 500");
         collector.say("upstream_stats locality a endpoint s-1 total 5 errors 0 rtt 3 interval 500 metrics"
@@ -168,8 +107,8 @@
 
     @Test
     void aNewStreamReplacesTheOldAndItsLateEndTakesNothing() throws IOException {
-        Peer old = joined(3);
-        Peer fresh = joined(3);
+        PeerStandin old = joined(3);
+        PeerStandin fresh = joined(3);
         await().atMost(PATIENCE).until(() -> old.ended);
         drain("s-1");
         fresh.hears("s-1:0");
@@ -181,8 +120,8 @@
         "*3~$6~attach~$4~node~$2~99~, true", "*3~$6~assign~$3~out~$3~s-1~, true",
         "*3~$4~done~$4~node~$1~3~, true", "*2~$2~hb~, false", "'', false"})
     void aBadClientIsToldOrClosedAndAProxyHeedsNothing(String text, boolean told) throws IOException {
-        Peer proxy = joined(4);
-        Peer bad = peer();
+        PeerStandin proxy = joined(4);
+        PeerStandin bad = peer();
         bad.raw(text.replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII));
         await().atMost(Duration.ofSeconds(3)).until(() -> bad.ended);
         assertEquals(told, bad.heard.stream().anyMatch(m -> m.get(0).equals("reject")));
@@ -192,7 +131,7 @@
 
     @Test
     void whatComesAlongWithWhatWasRejectedIsNotTaken() throws IOException {
-        Peer bad = peer();
+        PeerStandin bad = peer();
         bad.raw(("*3~$6~attach~$4~node~$2~99~*9~$6~attach~$4~node~$1~8~$8~locality~$1~a~$1~w~$1~5~$4~cold~$1~1~")
                 .replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII));
         bad.hears("reject");
@@ -212,7 +151,7 @@
 
     @Test
     void aNewConfigurationMovesDiscoveryAndAFaultyOneDoesNot() throws Exception {
-        Peer proxy = joined(6);
+        PeerStandin proxy = joined(6);
         hup();
         Files.writeString(folder.resolve("config.json"), "{\"name\":");
         hup();
