What leaves while a crowd waits is not told to each of it; young nodes tell of a release

At fault: Brain.shut() told each that waits of each node that leaves, whether the queue had room or not. In a crowd it does not any more, else only as drains have room. Both tests fail without it (played on a copy with each taken out).

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -56,7 +56,7 @@
     private static final long BIND_DEPTH = SECOND / 2, LEAST_GROUP = 8;
     private static final long LEFT_GRACES = 2;
     /** The most parts that a light table's lines are dealt in, and the least lines of a part. */
-    private static final int MOST_PARTS = 5, LEAST_LIGHT = 8;
+    private static final int MOST_PARTS = 5, LEAST_LIGHT = 32;
     /** Levels: how often set, the load kept to, what fall does not wait, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, LEVEL_FALLS = 0.75;
@@ -788,8 +788,9 @@
         int full = of(0).stream().mapToInt(t -> open(t).size()).sum();
         double soon = settings.linesPerSecond() * settings.drainGrace() / 2 / SECOND - waiting();
         double each = soon / Math.max(1, unbound().size()) - headAndMark();
+        long lately = now - LEFT_GRACES * settings.drainGrace();
         crowd = !unbound().isEmpty() && each < full && nodes.values().stream()
-                .anyMatch(n -> !n.ready() && now - n.leftAt < LEFT_GRACES * settings.drainGrace());
+                .anyMatch(n -> n.up > lately || !n.ready() && n.leftAt > lately);
         int parts = (int) Math.max(1, Math.min(MOST_PARTS, full / Math.max(1, each)));
         boundGroups.clear();
         proxies.values().stream().filter(p -> p.bound).forEach(p -> boundGroups.add(p.group));
@@ -961,7 +962,8 @@
     /** Proxies not yet bound may hold a node that left: for them it is shut out until it is laid again. */
     private void shut(Node node) {
         boolean held = tables.stream().anyMatch(t -> t.laid.containsKey(node.id));
-        if (node.withdrawn ? held : !held && !node.ready() && !unbound().isEmpty()) {
+        boolean fits = !crowd && unbound().size() * (headAndMark() + 2) < room(PART_DRAIN);
+        if (node.withdrawn ? held : !held && !node.ready() && !unbound().isEmpty() && fits) {
             node.withdrawn = !held;
             orders.withdraw(node.id, node.withdrawn);
             unbound().forEach(proxy -> reach(proxy, 1));
--- a/src/test/java/rosespread/BrainTest.java
+++ b/src/test/java/rosespread/BrainTest.java
@@ -268,6 +268,40 @@
         assertEquals((nodes - 2L) * 2 * crowd, IntStream.range(0, nodes).mapToLong(rig::holders).sum());
     }
 
+    /** So many wait that a word to each of them on what left would be more than the queue may hold. */
+    @ParameterizedTest
+    @CsvSource({"100, 3000", "140, 2000", "60, 900"})
+    void whatLeavesWhileACrowdWaitsDoesNotFillTheQueue(int crowd, double queue) {
+        Rig rig = new Rig(settings(queue, 30, method(1)));
+        rig.slow = true;
+        rig.start(100, 4).run(20);
+        IntStream.range(4, 4 + crowd).forEach(p -> rig.join(p, 5));
+        for (int node = 0; node < 30; node++) {
+            rig.list(CHANGES, GONE, LONG_AGO, node).run(0.1);
+        }
+        rig.run(20);
+        assertTrue(rig.mostWaiting <= queue, rig.mostWaiting + " lines waited");
+        assertEquals(0, IntStream.range(0, 30).mapToLong(rig::holders).sum());
+    }
+
+    /**
+     * What left before a conductor began is in no list that it is told of, but in the tables that proxies bring;
+     * that nodes are young says that a release goes on.
+     */
+    @Test
+    void aCrowdThatComesAfterAReleaseIsBoundLightThoughTheListNamesNothingThatLeft() {
+        Rig rig = new Rig(settings(8200, 30, method(1)));
+        rig.slow = true;
+        rig.list(Observer.ListKind.REMEMBERED, READY, LONG_AGO, IntStream.range(0, 100).toArray()).run(1);
+        rig.list(CHANGES, READY, 99 * Rig.SECOND, 7).run(0.1);
+        IntStream.range(0, 45).forEach(p -> rig.join(p, 5));
+        rig.run(1.5);
+        assertEquals(45, rig.since(0, "bind ").size());
+        assertTrue(rig.mostWaiting <= 3500, rig.mostWaiting + " lines waited");
+        rig.run(30);
+        assertEquals(4500, IntStream.range(0, 100).mapToLong(rig::holders).sum());
+    }
+
     /** Full size: 110 nodes, up to 150 proxies; a site's nodes leave one by one and return cold. */
     @ParameterizedTest
     @CsvSource({"50, 3400, 30", "100, 3400, 30", "150, 4900, 20", "31, 1100, 30"})
--- a/src/test/java/rosespread/Rig.java
+++ b/src/test/java/rosespread/Rig.java
@@ -35,6 +35,7 @@
     private double credit;
     int mostMessages;
     private double waiting;
+    private final Set<Integer> joined = new TreeSet<>();
     private final Map<Integer, Integer> tableOf = new TreeMap<>();
     private final Map<Integer, Set<Integer>> lines = new TreeMap<>();
     private final Map<Integer, List<Long>> messages = new TreeMap<>();
@@ -90,6 +91,7 @@
     }
 
     Rig join(int proxy, double rate) {
+        joined.add(proxy);
         return with(o -> o.proxyJoined(new ProxyId(proxy), new ZoneId(0), rate));
     }
 
@@ -161,6 +163,8 @@
                     held.remove(Integer.parseInt(word[2]));
                 }
                 tableOf.forEach((proxy, t) -> sent.merge(proxy, t == table ? 1.0 : 0, Double::sum));
+            } else if (word[0].equals("withdraw")) {
+                joined.stream().filter(p -> !tableOf.containsKey(p)).forEach(p -> sent.merge(p, 1.0, Double::sum));
             }
         }
         sent.values().removeIf(lines -> lines == 0);
