Unbound proxies go deep into the queue only while nodes come or go

No node had come or gone, so nothing could be held too long. Ruled out: rounds (40 to 50 a second on both).

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -84,7 +84,7 @@
     private final Map<MethodId, Double> demands = new TreeMap<>();
     private Orders orders;
     private long now, sequence, nextStep, nextLevel, freeAt;
-    private boolean started, listLost, awake, crowded, crowd, shedding, told;
+    private boolean started, listLost, awake, crowded, crowd, moved, shedding, told;
     private double slack, window, turnLines, unit = Double.NaN;
     private final MessageLedger ledger = new MessageLedger();
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
@@ -610,8 +610,9 @@
         return settings.linesPerSecond() * settings.longestWay() / SECOND;
     }
 
+    /** It may hold what left, and its grace runs: while no node comes or goes there is no haste. */
     private boolean late(Proxy proxy) {
-        return !proxy.bound && now - proxy.waitsSince > thirdOfGrace();
+        return moved && !proxy.bound && now - proxy.waitsSince > thirdOfGrace();
     }
 
     private int messages(Proxy proxy) {
@@ -675,14 +676,13 @@
     /**
      * Proxies bring tables of another conductor, and keep what left lately in them until they are bound.
      * Where that takes over half a grace for all that wait, they gather in groups whose tables are laid
-     * light, each with other lines; the rest follows. A light group takes more until it is full: else each few that
-     * are bound would leave the rest a new group, and rounds grow with groups. Guards against sends to nodes
-     * that left when a crowd comes; it does harm where a part's nodes are slow.
+     * light, each with other lines; the rest follows. A light group takes more until it is full: else each
+     * few that are bound would leave the rest a new group, and rounds grow with groups. Guards against sends
+     * to nodes that left when a crowd comes; it does harm where a part's nodes are slow.
      */
     private void gatherCrowd() {
         long lately = now - LEFT_GRACES * settings.drainGrace();
-        boolean moved = nodes.values().stream()
-                .anyMatch(n -> n.up > lately || !n.ready() && n.leftAt > lately);
+        moved = nodes.values().stream().anyMatch(n -> n.up > lately || !n.ready() && n.leftAt > lately);
         if (moved) {
             releaseWhatCannotBeTold();
         }
