A stopping conductor tells all proxies why: unbinding closed their streams first

ConductorTest.tellsProxiesWhenItStops failed once in a whole test run: the stream ended without Close. Cause: ChannelServer.close unbinds first, and MINA closes an acceptor's sessions at once as it is unbound unless closeOnDeactivation is off (HttpServer had that off already); what the decision thread had just written was lost where it was not flushed yet. The platform's StreamServer writes no last words and is left as it is.

--- a/src/main/java/rosespread/conductor/ChannelServer.java
+++ b/src/main/java/rosespread/conductor/ChannelServer.java
@@ -33,6 +33,8 @@
         this.core = core;
         acceptor = new NioSocketAcceptor(threads);
         acceptor.setReuseAddress(true);
+        // Else unbinding closes all streams at once, and a proxy may not be told why.
+        acceptor.setCloseOnDeactivation(false);
         acceptor.setBacklog(1024);
         acceptor.getSessionConfig().setTcpNoDelay(true);
         acceptor.getFilterChain().addLast("frames",
