--- a/src/main/java/rosespread/api/KindId.java
+++ b/src/main/java/rosespread/api/KindId.java
@@ -6,4 +6,15 @@
     public int compareTo(KindId other) {
         return Integer.compare(value, other.value);
     }
+
+    /** Written out: a record's own goes through a method handle, which is slow without the C2 compiler. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof KindId id && id.value == value;
+    }
+
+    @Override
+    public int hashCode() {
+        return Integer.hashCode(value);
+    }
 }
