A crowd's light tables use all nodes: as many groups as parts, half of what fits

Followed on the modelled fleet, which breaks at the same moment: 110 proxies had tables of 9 of 220 lines, dealt in 25 parts to the 5 groups they fill, so four fifths of all nodes were in no table, the same at each conductor; most cold nodes got nothing, a few 3.6 times what they can do. At fault in Brain: gatherCrowd (groups filled to what half a queue takes whatever the parts; each = what is left of half a grace, none with a queue half full, all of it with an empty one), deliver (a second of channel to one group at a time), count (removals that empty a table took no other lines along). Ruled out: dealing by weight, half weights, warm nodes only (earlier trials). Tried, not kept: throttling by unanswered tries, fired once.

--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -46,6 +46,8 @@
     private static final long PROBE_SUSPECT = SECOND, PROBE_EVERY = 4 * SECOND;
     /** Cold nodes are sent at most this multiple of what they can do by now; the load taken while unheard. */
     private static final double COLD_LOAD = 1.2, UNHEARD_LOAD = 5;
+    /** The part of a cold node's weight where no node tells how busy it is: a storm is then seen late. */
+    private static final double COLD_BLIND = 0.6;
     /** The least time that a proxy has to answer, and the pace of ordinary deliveries. */
     private static final long PATIENCE = 2 * SECOND, DELIVERY_GAP = SECOND / 2;
     /** Parts of the channel for ordinary deliveries, at what price, for heads usually and at most. */
@@ -61,8 +63,12 @@
     private static final long LEFT_GRACES = 2;
     /** The most parts that a light table's lines are dealt in, and the least lines of a part. */
     private static final int MOST_PARTS = 25, LEAST_LIGHT = 8;
+    /** The part that a crowd's tables take of the lines that would fit: more proxies may be about to come. */
+    private static final double LIGHT_USE = 0.5;
     /** A group is light while it has at most so many times the lines of a light table. */
     private static final double LIGHT_BAND = 1.5;
+    /** The part of its share of all weights that a table keeps when lines are removed. */
+    private static final double LEAST_LAID = 0.8;
     /** Levels: how often set, the load kept to, what fall does not wait, when shedding starts and ends. */
     private static final long LEVEL_EVERY = SECOND / 2;
     private static final double LEVEL_LOAD = 0.85, LEVEL_BAND = 0.1, LEVEL_FALLS = 0.75;
@@ -84,7 +90,7 @@
     private final Map<MethodId, Double> demands = new TreeMap<>();
     private Orders orders;
     private long now, sequence, nextStep, nextLevel, freeAt;
-    private boolean started, listLost, awake, crowded, crowd, moved, shedding, told;
+    private boolean started, listLost, awake, uncommitted, crowded, crowd, moved, shedding, told;
     private double slack, window, turnLines, unit = Double.NaN;
     private final MessageLedger ledger = new MessageLedger();
     private final TreeMap<KindId, Double> unitOfKind = new TreeMap<>(), latencyOfKind = new TreeMap<>();
@@ -121,6 +127,7 @@
             group.tables.get(i).pendingLevels.putAll(firstTables().get(i).levels);
         }
         groups.add(group);
+        uncommitted = true;
         return group;
     }
 
@@ -144,7 +151,6 @@
         openNodes.clear();
         feed.to(new Ear());
         demands.clear();
-        tables.forEach(t -> t.counted = false);
         if (settings.sliced()) {
             if (!started) {
                 orders.log("slices are not decided by this module: their tables stay as they are");
@@ -158,6 +164,10 @@
         awake |= !started;
         started = true;
         listLost = false;
+        uncommitted |= awake;
+        if (uncommitted) {
+            tables.forEach(t -> t.counted = false);
+        }
         if (awake) {
             awake = false;
             orders.wakeAfter(TICK);
@@ -167,7 +177,10 @@
             commitLevels();
         }
         gatherCrowd();
-        commit();
+        if (uncommitted) {
+            uncommitted = false;
+            commit();
+        }
         settle();
         crowded = false;
         groups.stream().sorted(Comparator.comparing(group -> group.spokenAt)).toList().forEach(this::deliver);
@@ -223,6 +236,7 @@
 
         @Override
         public void listEnds() {
+            uncommitted = true;
             if (kind == ListKind.WHOLE || kind == ListKind.REMEMBERED) {
                 nodes.values().stream().filter(node -> !listed.contains(node.id))
                         .forEach(node -> node.become(NodeState.GONE, now));
@@ -510,7 +524,8 @@
     // ---- commit ----
     /**
      * Commits what truly differs, each change with the table's one pending delivery. What counts as different
-     * grows with the seconds of channel that a whole new table for all proxies would take.
+     * grows with the seconds of channel that a whole new table for all proxies would take. Done once a tick,
+     * and as the list or the groups change: it costs a look at each node for each group.
      */
     private void commit() {
         double load = loadRatio();
@@ -547,13 +562,15 @@
     private Map<NodeId, Double> wanted(GroupTable table, double load, Map<NodeId, Double> spoken) {
         List<Node> open = open(table);
         double mean = open.stream().mapToDouble(n -> n.listed).average().orElse(1);
+        double most = open.stream().anyMatch(n -> n.busy.known(now)) ? 1 : COLD_BLIND;
         Map<NodeId, Double> wanted = new LinkedHashMap<>();
         for (Node node : open) {
             double size = node.size();
             double taken = spoken.getOrDefault(node.id, 0.0) / Math.max(load, 0.1);
             double weight = lean(Math.max(0.1 * size, size - taken) / mean) * present(node, table);
             if (cold(node)) {
-                weight *= Math.min(1, COLD_LOAD / (Double.isNaN(unit) ? UNHEARD_LOAD : Math.max(load, 1e-9)));
+                double heard = Double.isNaN(unit) ? UNHEARD_LOAD : Math.max(load, 1e-9);
+                weight *= Math.min(most, COLD_LOAD / heard);
             }
             wanted.put(node.id, Math.max(weight, 1e-4));
         }
@@ -636,11 +653,15 @@
 
     /**
      * The earlier deadline goes first: removals wait a third of their grace while proxies wait to be bound
-     * that were there before the nodes left. Guards against later removals that hold up a crowd.
+     * that were there before the nodes left, but not past the time at which they still leave within the grace
+     * behind all that waits. Guards against later removals that hold up a crowd.
      */
     private boolean removalsWait(ProxyGroup group) {
         long told = told(group);
-        return crowd && now - told < thirdOfGrace() && unbound().stream().anyMatch(p -> p.waitsSince < told);
+        double queue = (waiting() + onTheWay()) / settings.linesPerSecond() * SECOND;
+        long latest = (long) (PART_DRAIN * settings.drainGrace() - queue);
+        return crowd && now - told < Math.min(thirdOfGrace(), latest)
+                && unbound().stream().anyMatch(p -> p.waitsSince < told);
     }
 
     private double roomForRemovals() {
@@ -690,17 +711,31 @@
         List<Proxy> unbound = unbound();
         double each = (inHalfAGrace() - waiting()) / Math.max(1, unbound.size()) - headAndMark();
         crowd = !unbound.isEmpty() && each < full && moved;
-        int parts = (int) Math.max(1, Math.min(MOST_PARTS, full / Math.max(1, each)));
+        int parts = (int) Math.max(1, Math.min(MOST_PARTS, full / Math.max(LEAST_LIGHT, LIGHT_USE * each)));
         double light = LIGHT_BAND * Math.max(LEAST_LIGHT * firstTables().size(), (double) full / parts);
-        Predicate<ProxyGroup> fits = g -> g.free() || g.lines() <= light;
-        for (Proxy proxy : crowd ? unbound : List.<Proxy>of()) {
-            if (!fits.test(proxy.group)) {
-                proxy.move(groupToJoin(fits));
-            }
+        if (crowd) {
+            gatherInLightGroups(unbound, light, parts);
         }
         tables.forEach(t -> t.parts = crowd && t.group.free() ? parts : t.pending.isEmpty() ? 1 : t.parts);
     }
 
+    /**
+     * As many groups as there are parts share the crowd: guards against parts that no group has, whose nodes
+     * would stand idle while the others bear all. A group that still holds what left takes no more.
+     */
+    private void gatherInLightGroups(List<Proxy> unbound, double mostLines, int parts) {
+        Set<ProxyGroup> light = new HashSet<>(groups);
+        light.removeIf(g -> !g.free() && (g.lines() > mostLines || leftNodes(g).findAny().isPresent()));
+        long gathered = proxies.values().stream().filter(p -> !p.bound || light.contains(p.group)).count();
+        long share = (gathered + parts - 1) / parts;
+        for (Proxy proxy : unbound) {
+            if (!light.contains(proxy.group) || proxy.group.members.size() > share) {
+                proxy.move(groupToJoin(g -> light.contains(g) && g.members.size() < share));
+                light.add(proxy.group);
+            }
+        }
+    }
+
     /**
      * Groups that hold more of what left than a light table has lines are bound anew, where the channel can't
      * take all removals within half a grace: guards against a release of most nodes within a grace.
@@ -822,7 +857,7 @@
             int fit = (int) Math.floor(Math.max((room(PART_DELIVERY) - kept) / users - head,
                     Math.min(drained(table), before / users - head)));
             boolean wait = crowd || table.parts > 1 && waiting() > settings.linesPerSecond() + onTheWay();
-            double rest = Math.max(3 * headAndMark(), settings.linesPerSecond() / users);
+            double rest = Math.max(3 * headAndMark(), settings.linesPerSecond() / proxies.size());
             fit = (int) Math.min(fit, pressing(table) + (wait ? 0 : table.parts > 1 ? rest : fit));
             double worth = Math.max(settings.linesPerMessage(),
                     ((room(PART_DELIVERY) + waiting()) / users - head) / 2);
@@ -880,8 +915,29 @@
             table.counted = true;
             table.drained = (int) table.pending.keySet().stream().filter(id -> !node(id).ready()).count();
             table.pressing = table.drained + (int) table.pending.keySet().stream()
-                    .filter(id -> node(id).ready() && tooHigh(table, id)).count();
+                    .filter(id -> node(id).ready() && tooHigh(table, id)).count() + replacements(table);
+        }
+    }
+
+    /**
+     * The lines that must follow removals, so that what is left of a table does not bear what left: guards
+     * against cold nodes that stay behind in a light table and get all of its proxies' requests.
+     */
+    private int replacements(GroupTable table) {
+        double laid = table.laid.entrySet().stream().filter(line -> node(line.getKey()).ready())
+                .mapToDouble(Map.Entry::getValue).sum();
+        double least = LEAST_LAID * table.committed.values().stream().mapToDouble(w -> w).sum() / table.parts;
+        if (table.laid.isEmpty() || laid >= least) {
+            return 0;
+        }
+        double[] losses = table.pending.entrySet().stream()
+                .mapToDouble(line -> table.laid.getOrDefault(line.getKey(), 0.0) - line.getValue())
+                .filter(loss -> loss < 0).sorted().toArray();
+        int lines = 0;
+        while (lines < losses.length && laid < least) {
+            laid -= losses[lines++];
         }
+        return lines;
     }
 
     private boolean tooHigh(GroupTable table, NodeId id) {
