--- /dev/null
+++ b/src/test/java/rosespread/measure/WindowRateTest.java
@@ -0,0 +1,52 @@
+package rosespread.measure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class WindowRateTest {
+    private static final long SECOND = 1_000_000_000L;
+    private final WindowRate rate = new WindowRate();
+
+    @Test
+    void theRateIsOverTheTimeCoveredNotOverTheTimePassed() {
+        rate.add(0, 10, 0.5, SECOND);
+        rate.add(10 * SECOND, 10, 0.5, SECOND);
+        assertEquals(20, rate.perSecond(10 * SECOND), 1e-9);
+    }
+
+    @Test
+    void missingCountsLeaveTheRateAsItWas() {
+        rate.add(0, 30, 1, SECOND);
+        assertEquals(30, rate.perSecond(2 * SECOND), 1e-9);
+    }
+
+    @Test
+    void nothingIsKnownBeforeTheFirstCountNorLongAfterTheLast() {
+        assertFalse(rate.known(0));
+        assertEquals(0, rate.perSecond(0));
+        rate.add(0, 30, 1, SECOND);
+        assertTrue(rate.known(2 * SECOND));
+        assertFalse(rate.known(4 * SECOND));
+        assertEquals(0, rate.perSecond(4 * SECOND));
+    }
+
+    @Test
+    void newerCountsWeighMoreTheShorterTheWindow() {
+        WindowRate slow = new WindowRate();
+        for (int time = 0; time < 10; time++) {
+            int count = time < 9 ? 10 : 100;
+            rate.add(time * SECOND, count, 1, SECOND);
+            slow.add(time * SECOND, count, 1, 10 * SECOND);
+        }
+        assertTrue(rate.perSecond(9 * SECOND) > 2 * slow.perSecond(9 * SECOND));
+    }
+
+    @Test
+    void whatWasCountedFadesWithTheWindow() {
+        rate.add(0, 12, 1, SECOND);
+        assertEquals(12 / Math.E, rate.counted(SECOND), 1e-9);
+    }
+}
