serve warns where channel, queue or messages leave no way to keep the drain grace

Only bounds that hold however it is decided: the shortest message to all proxies, the shortest message against the queue's limit, the spacing of messages. No decision reads it.

--- a/src/main/java/rosespread/platform/PlatformConductor.java
+++ b/src/main/java/rosespread/platform/PlatformConductor.java
@@ -121,6 +121,7 @@
         LOG.info("{} listens on {}, discovery {}, {} nodes known, {} sockets, {} proxies at most, {}",
                 config.name(), bound, config.discovery(), config.known().targets().size(), config.sockets(),
                 config.proxies(), config.settings());
+        ChannelFit.warnings(config.settings(), config.proxies()).forEach(LOG::warn);
     }
 
     /** A timer's task that throws is never run again: strangers would keep their descriptors for good. */
