--- a/src/main/java/rosespread/Brain.java
+++ b/src/main/java/rosespread/Brain.java
@@ -107,25 +107,11 @@
      * for one delivery to all; each group's deliveries leave for themselves. Small fleets are one group.
      */
     private ProxyGroup layOutTables() {
-        ProxyGroup group = new ProxyGroup();
-        for (int m = 0; m < settings.methods().size(); m++) {
-            Settings.Method method = settings.methods().get(m);
-            for (int zone = 0; zone < (method.ownZone() ? settings.zones() : 1); zone++) {
-                ZoneId home = method.ownZone() ? new ZoneId(zone) : null;
-                GroupTable table = group.tables.stream().filter(t -> t.serves(method, home)).findFirst()
-                        .orElse(null);
-                if (table == null) {
-                    table = new GroupTable(new TableId(tables.size() + 1), group, method, home);
-                    tables.add(table);
-                    group.tables.add(table);
-                }
-                table.methods.add(new MethodId(m));
-            }
-        }
-        for (int i = 0; !groups.isEmpty() && i < group.tables.size(); i++) {
-            group.tables.get(i).levels.putAll(firstTables().get(i).levels);
-            group.tables.get(i).pendingLevels.putAll(firstTables().get(i).levels);
+        ProxyGroup group = new ProxyGroup(settings, tables.size() + 1);
+        if (!groups.isEmpty()) {
+            group.takeLevels(groups.get(0));
         }
+        tables.addAll(group.tables);
         groups.add(group);
         uncommitted = true;
         return group;
@@ -852,7 +838,7 @@
             double head = (first ? headAndMark() : 0) + table.pendingLevels.size();
             double users = Math.max(1, group.members.size());
             double kept = tables.stream().filter(t -> t.group != group && drained(t) > 0)
-                    .mapToDouble(t -> (drained(t) + headAndMark()) * users(t).size()).sum();
+                    .mapToDouble(t -> (drained(t) + headAndMark()) * t.users().size()).sum();
             double before = drained(table) > 0 ? roomForRemovals() : room(PART_URGENT) - kept;
             int fit = (int) Math.floor(Math.max((room(PART_DELIVERY) - kept) / users - head,
                     Math.min(drained(table), before / users - head)));
@@ -930,24 +916,13 @@
         if (table.laid.isEmpty() || laid >= least) {
             return 0;
         }
-        double[] losses = table.pending.entrySet().stream()
-                .mapToDouble(line -> table.laid.getOrDefault(line.getKey(), 0.0) - line.getValue())
-                .filter(loss -> loss < 0).sorted().toArray();
-        int lines = 0;
-        while (lines < losses.length && laid < least) {
-            laid -= losses[lines++];
-        }
-        return lines;
+        return table.linesToGain(least - laid);
     }
 
     private boolean tooHigh(GroupTable table, NodeId id) {
         return cold(node(id)) && table.laid.getOrDefault(id, 0.0) > 1.5 * table.pending.get(id);
     }
 
-    private List<Proxy> users(GroupTable table) {
-        return table.group.members.values().stream().filter(p -> p.bound && table.usedBy(p)).toList();
-    }
-
     /** Sends levels and so many lines: nodes that left, cold ones held too high, then the largest changes. */
     private void send(GroupTable table, int most) {
         List<NodeId> changes = new ArrayList<>(table.pending.keySet());
@@ -969,7 +944,7 @@
         table.abrupt = false;
         table.flightSequence = sequence + 1;
         table.sentAt = now;
-        for (Proxy proxy : users(table)) {
+        for (Proxy proxy : table.users()) {
             reach(proxy, sent);
             table.inFlight.add(proxy.id);
         }
@@ -1094,14 +1069,7 @@
         }
         double[] rates = proxies.values().stream().filter(p -> p.offered.containsKey(method))
                 .mapToDouble(p -> p.offered.get(method).perSecond(now)).sorted().toArray();
-        double left = share * Arrays.stream(rates).sum();
-        for (int i = 0; i < rates.length; i++) {
-            if (rates[i] * (rates.length - i) >= left) {
-                return left / (rates.length - i);
-            }
-            left -= rates[i];
-        }
-        return Double.POSITIVE_INFINITY;
+        return FairShare.limit(rates, share * Arrays.stream(rates).sum());
     }
 
     private void commitLevel(GroupTable table, MethodId method, double level) {
--- a/src/main/java/rosespread/state/GroupTable.java
+++ b/src/main/java/rosespread/state/GroupTable.java
@@ -67,6 +67,24 @@
         return group == proxy.group && (home == null || home.equals(proxy.zone));
     }
 
+    /** The bound proxies that get what is written to it. */
+    public List<Proxy> users() {
+        return group.members.values().stream().filter(proxy -> proxy.bound && usedBy(proxy)).toList();
+    }
+
+    /** How many pending lines, those that gain most first, add up to so much weight; all if they don't. */
+    public int linesToGain(double weight) {
+        double[] losses = pending.entrySet().stream()
+                .mapToDouble(line -> laid.getOrDefault(line.getKey(), 0.0) - line.getValue())
+                .filter(loss -> loss < 0).sorted().toArray();
+        double missing = weight;
+        int lines = 0;
+        while (lines < losses.length && missing > 0) {
+            missing += losses[lines++];
+        }
+        return lines;
+    }
+
     /** Sets a line of one of its maps; weight 0 takes it out. */
     public static void put(Map<NodeId, Double> lines, NodeId id, double weight) {
         lines.compute(id, (same, old) -> weight > 0 ? Double.valueOf(weight) : null);
