--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -20,6 +20,7 @@
                         case "site-lost" -> SiteLost.play(folder, trouble);
                         case "site-returns" -> SiteReturns.play(folder, trouble);
                         case "restart-in-release" -> RestartInRelease.play(folder, trouble);
+                        case "rolling-deploy" -> RollingDeploy.play(folder, trouble);
                         default -> 2;
                     };
         } catch (Exception | Error e) {
--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -1411,7 +1411,8 @@
                 String.format(
                         Locale.ROOT,
                         "requests %d, refused %d; drain: %d sent too late to %s, worst %.2f s past the"
-                                + " grace; no node: %d proxies and classes %s; queue: %d breaks, most"
+                                + " grace; no node: %d proxies and classes %s, worst %.2f s past the limit;"
+                                + " queue: %d breaks, most"
                                 + " lines %s; messages: %d breaks; cold: %d fell, worst %.2f of budget",
                         requests,
                         refused,
@@ -1420,6 +1421,7 @@
                         worstLateS,
                         bareBreaks,
                         bare.keySet(),
+                        worstBareS,
                         queueBreaks,
                         controllers.stream().map(c -> (int) c.maxWaiting).toList(),
                         messageBreaks,
