--- a/review/standin/RestartInRelease.java
+++ b/review/standin/RestartInRelease.java
@@ -20,7 +20,7 @@
         this.controller = controller;
     }
 
-    static int play(Path folder, boolean trouble) throws Exception {
+    static int play(Path record, boolean trouble) throws Exception {
         World.Settings settings = new World.Settings();
         settings.classes =
                 List.of(
@@ -30,7 +30,7 @@
         settings.requestsPerS = 110;
         settings.queueCap = 1200;
         settings.graceS = 2.1;
-        World world = new World(settings, folder, Main.SEED);
+        World world = new World(settings, record, Main.SEED);
         for (int i = 0; i < 9; i++) {
             world.addServer("small-" + i + "-v1", settings.zones.get(i % 3), "small-2", 1.2);
             world.addServer("std-" + i + "-v1", settings.zones.get(i % 3), "std-4", 4);
--- a/review/standin/RollingDeploy.java
+++ b/review/standin/RollingDeploy.java
@@ -12,7 +12,7 @@
 
     private RollingDeploy() {}
 
-    static int play(Path folder, boolean trouble) throws Exception {
+    static int play(Path record, boolean trouble) throws Exception {
         World.Settings settings = new World.Settings();
         settings.classes =
                 List.of(
@@ -26,7 +26,7 @@
         settings.requestsPerS = 220;
         settings.noise = 0.12;
         settings.swing = 0.15;
-        World world = new World(settings, folder, Main.SEED);
+        World world = new World(settings, record, Main.SEED);
         for (int i = 0; i < SERVERS; i++) {
             boolean big = i % 16 < 9;
             world.addServer(
--- a/review/standin/SiteLost.java
+++ b/review/standin/SiteLost.java
@@ -10,12 +10,12 @@
     private static final double FIRST_NOTICE_S = 4;
     private static final double LAST_NOTICE_S = 9;
 
-    static int play(Path folder, boolean trouble) throws Exception {
+    static int play(Path record, boolean trouble) throws Exception {
         World.Settings settings = new World.Settings();
         settings.proxies = 39;
         settings.queueCap = 1330;
         settings.graceS = 2.2;
-        World world = new World(settings, folder, Main.SEED);
+        World world = new World(settings, record, Main.SEED);
         for (int i = 0; i < 30; i++) {
             boolean big = i % 16 < 9;
             world.addServer(
--- a/review/standin/SiteReturns.java
+++ b/review/standin/SiteReturns.java
@@ -10,7 +10,7 @@
     private static final double NOTICE_S = 0.7;
     private static final double ADD_S = 2.0;
 
-    static int play(Path folder, boolean trouble) throws Exception {
+    static int play(Path record, boolean trouble) throws Exception {
         World.Settings settings = new World.Settings();
         settings.classes =
                 List.of(
@@ -23,7 +23,7 @@
         settings.redialMaxS = 1.0;
         settings.noise = 0.12;
         settings.swing = 0.15;
-        World world = new World(settings, folder, Main.SEED);
+        World world = new World(settings, record, Main.SEED);
         for (int i = 0; i < 15; i++) {
             boolean big = i % 16 < 9;
             world.addServer(
--- a/review/standin/World.java
+++ b/review/standin/World.java
@@ -527,11 +527,15 @@
 
     record Timed(long atNs, Runnable action) {}
 
-    World(Settings settings, Path caseFolder, long seed) throws IOException {
+    World(Settings settings, Path recordFile, long seed) throws IOException {
         this.settings = settings;
         random = new Random(seed);
         folder = Files.createTempDirectory("rosespread-review");
-        record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")), true);
+        record =
+                new PrintWriter(
+                        Files.newBufferedWriter(
+                                recordFile, StandardOpenOption.CREATE, StandardOpenOption.APPEND),
+                        true);
         Runtime.getRuntime().addShutdownHook(new Thread(this::end));
         Thread watchdog =
                 new Thread(
@@ -558,6 +562,11 @@
         for (Controller controller : controllers) {
             if (controller.process != null) {
                 controller.process.destroyForcibly();
+                try {
+                    controller.process.waitFor(5, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
             }
         }
     }
