--- a/src/main/java/rosespread/platform/PlatformState.java
+++ b/src/main/java/rosespread/platform/PlatformState.java
@@ -267,6 +267,7 @@
                 sender.bytes(),
                 sessions.pendingAcknowledgements(),
                 sessions.maxPendingNanos(now),
+                Math.round(policy.queuedEntries()),
                 sessions.unmatchedAcknowledgements(),
                 Map.copyOf(reportsByZone));
     }
--- a/src/main/java/rosespread/platform/PlatformStatus.java
+++ b/src/main/java/rosespread/platform/PlatformStatus.java
@@ -12,6 +12,7 @@
  * @param maxRoundNanos the longest round so far
  * @param pendingAcknowledgements updates not acknowledged yet
  * @param maxPendingNanos age of the oldest update not acknowledged yet
+ * @param queuedEntries entries that the policy counts as queued in the channel
  * @param unmatchedAcknowledgements acknowledgements that matched no pending update of their session
  * @param reportsByZone load reports used, by their zone
  */
@@ -26,5 +27,6 @@
         long bytes,
         long pendingAcknowledgements,
         long maxPendingNanos,
+        long queuedEntries,
         long unmatchedAcknowledgements,
         Map<ZoneId, Long> reportsByZone) {}
--- a/src/main/java/rosespread/platform/StatusReporter.java
+++ b/src/main/java/rosespread/platform/StatusReporter.java
@@ -83,6 +83,7 @@
                 .addKeyValue("bytes", status.bytes())
                 .addKeyValue("pendingAcknowledgements", status.pendingAcknowledgements())
                 .addKeyValue("maxPendingMillis", status.maxPendingNanos() / NANOS_PER_MILLI)
+                .addKeyValue("queuedEntries", status.queuedEntries())
                 .addKeyValue("unmatchedAcknowledgements", status.unmatchedAcknowledgements())
                 .addKeyValue("loadReportsByZone", byZone(status.reportsByZone()));
     }
--- a/src/main/java/rosespread/policy/RoutingPolicy.java
+++ b/src/main/java/rosespread/policy/RoutingPolicy.java
@@ -142,6 +142,14 @@
         outgoing.close(round);
     }
 
+    /**
+     * Number of entries that count as queued in the channel; deliveries wait while it is near the
+     * queue limit.
+     */
+    public double queuedEntries() {
+        return inFlight.entries();
+    }
+
     private void ignoreKeyRangeTables(PolicyActions actions) {
         if (!started) {
             actions.report(new PolicyEvent.KeyRangeTablesIgnored());
--- a/src/test/java/rosespread/platform/PlatformStateTest.java
+++ b/src/test/java/rosespread/platform/PlatformStateTest.java
@@ -75,6 +75,17 @@
         assertEquals(9, state.status().unmatchedAcknowledgements());
     }
 
+    /** Guards the metric that shows when unacknowledged messages use up the channel budget. */
+    @Test
+    void statusCountsQueuedEntriesUntilAcknowledged() {
+        RecordingConnection connection = join();
+        run(0.2);
+        assertEquals(15, state.status().queuedEntries(), "overhead 11, table 1, entry 1, limits 2");
+        acknowledge(connection, connection.lastToken());
+        run(0.2);
+        assertEquals(0, state.status().queuedEntries());
+    }
+
     @Test
     void lateCloseOfReplacedConnectionEndsNoSessionAfterPolicyRestart() {
         RecordingConnection old = join();
