A proxy that joins is given all tables of its shard, also empty ones

Cause: a joining proxy was subscribed to the tables that had entries and marked as subscribed to all. What the empty table gained later was settled by acknowledgements of other messages. Evidence: the policy's actions in ZoneTablesTest, three subscriptions where six are due, while weights are set for the table that nobody was given. Change: ProxySubscriber subscribes to all tables of the shard, so the policy and the update writer agree on who receives what, and no flag per table is needed. An empty table is sent whole, past the queue limit, only while it has no subscribers; before, joins triggered this although nobody received it.

PolicyFixture knows zones and a table per method now; what it asks of existing tests is the same.

--- a/src/main/java/rosespread/policy/ProxySubscriber.java
+++ b/src/main/java/rosespread/policy/ProxySubscriber.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import rosespread.api.PolicySettings;
+import rosespread.policy.state.NodeRegistry;
 import rosespread.policy.state.Proxy;
 import rosespread.policy.state.ProxyRegistry;
 import rosespread.policy.state.ShardRegistry;
@@ -30,6 +31,7 @@
     private static final long MAX_QUEUE_NANOS = TimeUnits.SECOND / 2;
 
     private final PolicySettings settings;
+    private final NodeRegistry nodes;
     private final ProxyRegistry proxies;
     private final ShardRegistry shards;
     private final PendingChanges changes;
@@ -41,6 +43,7 @@
 
     ProxySubscriber(
             PolicySettings settings,
+            NodeRegistry nodes,
             ProxyRegistry proxies,
             ShardRegistry shards,
             PendingChanges changes,
@@ -49,6 +52,7 @@
             ReconnectHandler reconnects,
             TableUpdateSender sender) {
         this.settings = settings;
+        this.nodes = nodes;
         this.proxies = proxies;
         this.shards = shards;
         this.changes = changes;
@@ -59,7 +63,10 @@
         this.sender = sender;
     }
 
-    /** Subscribes the proxies that need full tables, as far as the channel budget allows. */
+    /**
+     * Subscribes the proxies that need full tables, as far as the channel budget allows. While no
+     * node was ever listed, all proxies keep the tables that they bring.
+     */
     void subscribeWaiting(RoundContext round) {
         long now = round.now();
         List<Proxy> waiting = waitingProxies(now);
@@ -67,11 +74,12 @@
         if (reconnects.inProgress()) {
             partialTables.rewriteTablesWithoutFollowers(round);
         }
-        if (!waiting.isEmpty()) {
-            shards.tables().stream()
-                    .filter(table -> table.delivered().isEmpty())
-                    .forEach(table -> sender.send(table, Integer.MAX_VALUE, round));
+        if (waiting.isEmpty() || nodes.all().isEmpty()) {
+            return;
         }
+        shards.tables().stream()
+                .filter(table -> table.delivered().isEmpty() && table.subscribers().isEmpty())
+                .forEach(table -> sender.send(table, Integer.MAX_VALUE, round));
         for (Proxy proxy : waiting) {
             subscribeIfFits(proxy, share, round);
         }
@@ -112,19 +120,20 @@
                 queueEntries / settings.queueLimitEntries());
     }
 
+    /**
+     * Subscribes the proxy to all of its shard's tables that are for it, also to those without
+     * entries: a full table without entries removes what the proxy holds from earlier streams, and
+     * the proxy then receives the entries that the table gains.
+     */
     private void subscribeIfFits(Proxy proxy, double share, RoundContext round) {
         List<ShardTable> tables =
-                proxy.shard().tables().stream()
-                        .filter(table -> table.isFor(proxy) && !table.delivered().isEmpty())
-                        .toList();
+                proxy.shard().tables().stream().filter(table -> table.isFor(proxy)).toList();
         double entries =
                 tables.stream()
                         .mapToDouble(t -> 1 + t.delivered().size() + t.methods().size())
                         .sum();
         double capacity = capacityFor(proxy, share, round.now()) - budget.messageOverhead();
-        if (!budget.allowsMessage(proxy, FULL_TABLE_SHARE, round.now())
-                || capacity < entries
-                || tables.isEmpty()) {
+        if (!budget.allowsMessage(proxy, FULL_TABLE_SHARE, round.now()) || capacity < entries) {
             return;
         }
         for (ShardTable table : tables) {
--- a/src/main/java/rosespread/policy/RoutingPolicy.java
+++ b/src/main/java/rosespread/policy/RoutingPolicy.java
@@ -99,7 +99,15 @@
                         sender);
         subscriber =
                 new ProxySubscriber(
-                        settings, proxies, shards, changes, budget, outgoing, reconnects, sender);
+                        settings,
+                        nodes,
+                        proxies,
+                        shards,
+                        changes,
+                        budget,
+                        outgoing,
+                        reconnects,
+                        sender);
         events =
                 new PolicyEventHandler(
                         nodes,
--- a/src/test/java/rosespread/policy/PolicyFixture.java
+++ b/src/test/java/rosespread/policy/PolicyFixture.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -38,13 +39,16 @@
     /** Whether messages are acknowledged after they leave the channel; otherwise at once. */
     boolean slowChannel;
 
+    /** Number of zones; nodes and proxies are spread over them by their numbers. */
+    int zones = 1;
+
     double maxQueuedEntries;
     private final ArrayDeque<SentMessage> channel = new ArrayDeque<>();
     private double sendableEntries;
     int maxMessages;
     private double queuedEntries;
     private final Set<Integer> joined = new TreeSet<>();
-    private final Map<Integer, Integer> tableByProxy = new TreeMap<>();
+    private final Map<Integer, Map<List<Integer>, Integer>> tablesByProxy = new TreeMap<>();
     private final Map<Integer, Set<Integer>> nodesByTable = new TreeMap<>();
     private final Map<Integer, List<Long>> messageTimes = new TreeMap<>();
 
@@ -52,6 +56,11 @@
         policy = new RoutingPolicy(settings, new SplittableRandom(7));
     }
 
+    /** Clock reading of the last round in nanoseconds. */
+    long now() {
+        return now;
+    }
+
     /** Settings of one zone with this queue limit, in entries, and message limit per proxy. */
     static PolicySettings settings(
             double queueLimit, int messageLimit, PolicySettings.Method... methods) {
@@ -83,7 +92,7 @@
                             handler.nodeListed(
                                     new NodeId(node),
                                     new MachineTypeId(node % 2),
-                                    new ZoneId(0),
+                                    new ZoneId(node % zones),
                                     1,
                                     state,
                                     startedAt));
@@ -110,7 +119,15 @@
 
     PolicyFixture join(int proxy, double rate) {
         joined.add(proxy);
-        return with(handler -> handler.proxyJoined(new ProxyId(proxy), new ZoneId(0), rate));
+        ZoneId zone = new ZoneId(proxy % zones);
+        return with(handler -> handler.proxyJoined(new ProxyId(proxy), zone, rate));
+    }
+
+    /** Ends a proxy's stream; what it was sent on this stream is forgotten. */
+    PolicyFixture leave(int proxy) {
+        joined.remove(proxy);
+        tablesByProxy.remove(proxy);
+        return with(handler -> handler.proxyLeft(new ProxyId(proxy)));
     }
 
     PolicyFixture loadReport(int node, int attempts, int failures, double utilization) {
@@ -143,7 +160,7 @@
         ActionLog actions = new ActionLog();
         policy.round(now, handler -> events.forEach(event -> event.accept(handler)), actions);
         recorded.addAll(actions.lines);
-        enqueue(actions.lines);
+        enqueue(actions.lines, new ArrayDeque<>(actions.subscriptions));
         return actions.lines;
     }
 
@@ -179,17 +196,17 @@
     }
 
     /** Queues a round's messages in a channel of 1000 entries per second, sized as on the wire. */
-    private void enqueue(List<String> actions) {
+    private void enqueue(List<String> actions, ArrayDeque<Subscription> subscriptions) {
         Map<Integer, Double> sent = new TreeMap<>();
         for (String action : actions) {
             String[] words = action.split(" ");
             if (words[0].equals("subscribe")) {
-                int table = Integer.parseInt(words[2]);
-                tableByProxy.put(Integer.parseInt(words[1]), table);
-                sent.merge(
-                        Integer.parseInt(words[1]),
-                        1.0 + nodesByTable.get(table).size(),
-                        Double::sum);
+                Subscription subscription = subscriptions.removeFirst();
+                int table = subscription.table();
+                tablesByProxy
+                        .computeIfAbsent(subscription.proxy(), p -> new HashMap<>())
+                        .put(subscription.methods(), table);
+                sent.merge(subscription.proxy(), 1.0 + nodesOf(table).size(), Double::sum);
             } else if (words[0].equals("weight")) {
                 int table = Integer.parseInt(words[1]);
                 Set<Integer> nodes = nodesByTable.computeIfAbsent(table, t -> new TreeSet<>());
@@ -198,11 +215,13 @@
                 } else {
                     nodes.remove(Integer.parseInt(words[2]));
                 }
-                tableByProxy.forEach(
-                        (proxy, t) -> sent.merge(proxy, t == table ? 1.0 : 0, Double::sum));
+                tablesByProxy.forEach(
+                        (proxy, tables) ->
+                                sent.merge(
+                                        proxy, tables.containsValue(table) ? 1.0 : 0, Double::sum));
             } else if (words[0].equals("exclude")) {
                 joined.stream()
-                        .filter(p -> !tableByProxy.containsKey(p))
+                        .filter(p -> !tablesByProxy.containsKey(p))
                         .forEach(p -> sent.merge(p, 1.0, Double::sum));
             }
         }
@@ -242,13 +261,26 @@
         }
     }
 
-    /** Returns the number of proxies whose table has an entry for this node. */
+    private Set<Integer> nodesOf(int table) {
+        return nodesByTable.getOrDefault(table, Set.of());
+    }
+
+    /** Returns the number of proxies with an entry for this node in any of their tables. */
     long proxiesHolding(int node) {
-        return tableByProxy.values().stream()
-                .filter(table -> nodesByTable.get(table).contains(node))
+        return tablesByProxy.values().stream()
+                .filter(tables -> tables.values().stream().anyMatch(t -> nodesOf(t).contains(node)))
                 .count();
     }
 
+    /** Returns the nodes in the table that a proxy was given on this stream for a method. */
+    Set<Integer> nodesHeld(int proxy, int method) {
+        return tablesByProxy.getOrDefault(proxy, Map.of()).entrySet().stream()
+                .filter(table -> table.getKey().contains(method))
+                .map(table -> nodesOf(table.getValue()))
+                .findFirst()
+                .orElse(Set.of());
+    }
+
     /** Returns the recorded actions from this index on that start with this prefix. */
     List<String> recordedSince(int startIndex, String prefix) {
         return recorded.subList(startIndex, recorded.size()).stream()
@@ -269,8 +301,11 @@
         return weight;
     }
 
+    private record Subscription(int proxy, List<Integer> methods, int table) {}
+
     private static final class ActionLog implements PolicyActions {
         private final List<String> lines = new ArrayList<>();
+        private final List<Subscription> subscriptions = new ArrayList<>();
 
         @Override
         public void setWeight(TableId table, NodeId node, double weight) {
@@ -280,6 +315,9 @@
         @Override
         public void subscribe(ProxyId proxy, Iterable<MethodId> methods, TableId table) {
             lines.add("subscribe " + proxy.value() + " " + table.value());
+            List<Integer> numbers = new ArrayList<>();
+            methods.forEach(method -> numbers.add(method.value()));
+            subscriptions.add(new Subscription(proxy.value(), numbers, table.value()));
         }
 
         @Override
