--- a/src/main/java/rosespread/policy/ProxySubscriber.java
+++ b/src/main/java/rosespread/policy/ProxySubscriber.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import rosespread.api.PolicySettings;
-import rosespread.policy.state.NodeRegistry;
 import rosespread.policy.state.Proxy;
 import rosespread.policy.state.ProxyRegistry;
 import rosespread.policy.state.ShardRegistry;
@@ -31,7 +30,6 @@
     private static final long MAX_QUEUE_NANOS = TimeUnits.SECOND / 2;
 
     private final PolicySettings settings;
-    private final NodeRegistry nodes;
     private final ProxyRegistry proxies;
     private final ShardRegistry shards;
     private final PendingChanges changes;
@@ -43,7 +41,6 @@
 
     ProxySubscriber(
             PolicySettings settings,
-            NodeRegistry nodes,
             ProxyRegistry proxies,
             ShardRegistry shards,
             PendingChanges changes,
@@ -52,7 +49,6 @@
             ReconnectHandler reconnects,
             TableUpdateSender sender) {
         this.settings = settings;
-        this.nodes = nodes;
         this.proxies = proxies;
         this.shards = shards;
         this.changes = changes;
@@ -63,10 +59,7 @@
         this.sender = sender;
     }
 
-    /**
-     * Subscribes the proxies that need full tables, as far as the channel budget allows. While no
-     * node was ever listed, all proxies keep the tables that they bring.
-     */
+    /** Subscribes the proxies that need full tables, as far as the channel budget allows. */
     void subscribeWaiting(RoundContext round) {
         long now = round.now();
         List<Proxy> waiting = waitingProxies(now);
@@ -74,7 +67,7 @@
         if (reconnects.inProgress()) {
             partialTables.rewriteTablesWithoutFollowers(round);
         }
-        if (waiting.isEmpty() || nodes.all().isEmpty()) {
+        if (waiting.isEmpty()) {
             return;
         }
         shards.tables().stream()
--- a/src/main/java/rosespread/policy/RoutingPolicy.java
+++ b/src/main/java/rosespread/policy/RoutingPolicy.java
@@ -99,15 +99,7 @@
                         sender);
         subscriber =
                 new ProxySubscriber(
-                        settings,
-                        nodes,
-                        proxies,
-                        shards,
-                        changes,
-                        budget,
-                        outgoing,
-                        reconnects,
-                        sender);
+                        settings, proxies, shards, changes, budget, outgoing, reconnects, sender);
         events =
                 new PolicyEventHandler(
                         nodes,
@@ -123,7 +115,7 @@
     }
 
     /**
-     * Decides one round.
+     * Decides one round. Proxies keep the tables that they bring until a node has been listed.
      *
      * @param now clock reading in nanoseconds, not less than that of the previous round
      * @param source delivers the events received since the previous round
@@ -146,7 +138,9 @@
         }
         acknowledgements.handleTimeouts(round);
         deliveries.deliverPending(round);
-        subscriber.subscribeWaiting(round);
+        if (!nodes.all().isEmpty()) {
+            subscriber.subscribeWaiting(round);
+        }
         outgoing.close(round);
     }
 
