Tables of a shard are delivered by need, so that those of single zones do not starve

Cause: a shard's tables were delivered in a fixed order, each from what the earlier ones had left. The table of all sites changes all the time and took the ordinary share in each delivery; the site's table got its removals, which have a share of their own, and no addition until it was empty. Change: tables that hold too little weight first, then the one delivered longest ago; capacity is divided by the proxies that the table is for; the reserve for other shards' removals counts one message a proxy, not one a table; entries that refill a table without a ready node count as urgent and may use the urgent share. A changing table can so no longer keep the others waiting, and an empty one does not depend on what is left over. Related: an empty table in a mass reconnect got no entry at all.

--- a/src/main/java/rosespread/policy/DeliveryScheduler.java
+++ b/src/main/java/rosespread/policy/DeliveryScheduler.java
@@ -71,7 +71,7 @@
         }
         List<Proxy> subscribed = shard.subscribedMembers();
         if (mayDeliver(shard, due, subscribed, round.now())) {
-            for (ShardTable table : due) {
+            for (ShardTable table : mostInNeedFirst(due, round.now())) {
                 if (!mustWait(table, subscribed, round.now())) {
                     deliver(table, subscribed, round);
                 }
@@ -79,6 +79,20 @@
         }
     }
 
+    /**
+     * Sorts the tables of a shard: first those that hold too little weight until they gain entries,
+     * then those whose last delivery is the oldest. Otherwise a table that changes all the time
+     * would take the capacity of the others in each delivery.
+     */
+    private List<ShardTable> mostInNeedFirst(List<ShardTable> due, long now) {
+        return due.stream()
+                .sorted(
+                        Comparator.comparing(
+                                        (ShardTable table) -> !changes.needsEntries(table, now))
+                                .thenComparingLong(ShardTable::deliverySequence))
+                .toList();
+    }
+
     private boolean mayDeliver(
             ProxyShard shard, List<ShardTable> due, List<Proxy> subscribed, long now) {
         boolean urgent = due.stream().anyMatch(table -> changes.urgent(table, now));
@@ -122,9 +136,8 @@
 
     private void deliver(ShardTable table, List<Proxy> subscribed, RoundContext round) {
         long now = round.now();
-        boolean newMessages = subscribed.stream().noneMatch(outgoing::hasMessageFor);
-        double overhead = (newMessages ? budget.messageOverhead() : 0) + table.pendingLimits();
-        double members = Math.max(1, table.shard().size());
+        double overhead = newMessageRatio(table) * budget.messageOverhead() + table.pendingLimits();
+        double members = Math.max(1, table.shard().members().stream().filter(table::isFor).count());
         int fittingEntries = entriesThatFit(table, overhead, members, now);
         double minEntries = entriesWorthSending(table, overhead, members, now);
         boolean noSubscribers = subscribed.isEmpty();
@@ -137,44 +150,66 @@
         }
     }
 
+    /** Fraction of the table's subscribers that this round has not written to yet. */
+    private double newMessageRatio(ShardTable table) {
+        return table.subscribers().stream()
+                .mapToDouble(proxy -> outgoing.hasMessageFor(proxy) ? 0 : 1)
+                .average()
+                .orElse(1);
+    }
+
     /**
      * The number of pending entries that the channel has room for, with capacity reserved for
-     * removals of other shards. Urgent entries are sent first. Only urgent entries are sent during
-     * a mass reconnect and, from a partial table, while more entries are unacknowledged than the
-     * channel sends in one second plus the maximum propagation delay.
+     * removals of other shards. Urgent entries are sent first; those of a table without a ready
+     * node may use {@link ChannelBudget#URGENT_SHARE}. Only urgent entries are sent during a mass
+     * reconnect and, from a partial table, while more entries are unacknowledged than the channel
+     * sends in one second plus the maximum propagation delay.
      */
     private int entriesThatFit(ShardTable table, double overhead, double members, long now) {
+        int urgent = changes.urgentEntries(table, now);
         int removals = changes.removals(table, now);
         double reserved = reservedForRemovals(table.shard(), now);
         double forRemovals =
                 removals > 0
                         ? budget.capacityForRemovals()
                         : budget.capacity(ChannelBudget.URGENT_SHARE) - reserved;
-        double ordinary =
+        double forUnservedMethods =
+                changes.withoutReadyNode(table) ? budget.capacity(ChannelBudget.URGENT_SHARE) : 0;
+        double ordinaryFit =
                 (budget.capacity(ChannelBudget.ORDINARY_SHARE) - reserved) / members - overhead;
+        double removalsFit = Math.min(removals, forRemovals / members - overhead);
+        double unservedFit = Math.min(urgent, forUnservedMethods / members - overhead);
         int fittingEntries =
-                (int)
-                        Math.floor(
-                                Math.max(
-                                        ordinary,
-                                        Math.min(removals, forRemovals / members - overhead)));
+                (int) Math.floor(Math.max(ordinaryFit, Math.max(removalsFit, unservedFit)));
         return (int)
-                Math.min(
-                        fittingEntries,
-                        changes.urgentEntries(table, now)
-                                + nonUrgentEntriesAllowed(table, fittingEntries));
+                Math.min(fittingEntries, urgent + nonUrgentEntriesAllowed(table, fittingEntries));
     }
 
     private double reservedForRemovals(ProxyShard currentShard, long now) {
-        return shards.tables().stream()
-                .filter(table -> table.shard() != currentShard && changes.removals(table, now) > 0)
-                .mapToDouble(
-                        table ->
-                                (changes.removals(table, now) + budget.messageOverhead())
-                                        * table.subscribers().size())
+        return shards.shards().stream()
+                .filter(shard -> shard != currentShard)
+                .mapToDouble(shard -> removalEntries(shard, now))
                 .sum();
     }
 
+    /** Entries that the shard's removals occupy, with one message for each receiver. */
+    private double removalEntries(ProxyShard shard, long now) {
+        List<ShardTable> tables =
+                shard.tables().stream().filter(table -> changes.removals(table, now) > 0).toList();
+        double entries =
+                tables.stream()
+                        .mapToDouble(
+                                table -> changes.removals(table, now) * table.subscribers().size())
+                        .sum();
+        long receivers =
+                tables.isEmpty()
+                        ? 0
+                        : shard.subscribedMembers().stream()
+                                .filter(p -> tables.stream().anyMatch(table -> table.isFor(p)))
+                                .count();
+        return entries + receivers * budget.messageOverhead();
+    }
+
     /**
      * Number of entries allowed besides the urgent ones; a partial table gets its remaining entries
      * slowly, a limited number in each delivery.
--- a/src/main/java/rosespread/policy/PendingChanges.java
+++ b/src/main/java/rosespread/policy/PendingChanges.java
@@ -45,6 +45,14 @@
         return table.urgentEntries();
     }
 
+    /**
+     * Whether the table's delivered weight is too low, so that pending entries must be delivered
+     * although they do not replace a removal of the same delivery.
+     */
+    boolean needsEntries(ShardTable table, long now) {
+        return urgentEntries(table, now) > removals(table, now);
+    }
+
     /**
      * Whether the table's pending delivery is urgent: it must not wait until the delivery in flight
      * is acknowledged. It is urgent if it removes a node that left; if it lowers the far too high
@@ -53,9 +61,12 @@
      * are sent again.
      */
     boolean urgent(ShardTable table, long now) {
-        return urgentEntries(table, now) > 0
-                || table.limitUrgent()
-                || table.delivered().keySet().stream().noneMatch(this::ready);
+        return urgentEntries(table, now) > 0 || table.limitUrgent() || withoutReadyNode(table);
+    }
+
+    /** Whether no delivered entry is of a ready node, so that its methods cannot be served. */
+    boolean withoutReadyNode(ShardTable table) {
+        return table.delivered().keySet().stream().noneMatch(this::ready);
     }
 
     /**
@@ -95,7 +106,7 @@
     private int replacements(ShardTable table) {
         double delivered = table.deliveredWeight(this::ready);
         double minWeight = MIN_DELIVERED_FRACTION * table.committedWeight() / table.parts();
-        if (table.delivered().isEmpty() || delivered >= minWeight) {
+        if (delivered >= minWeight) {
             return 0;
         }
         return table.entriesToGain(minWeight - delivered);
