Timeout doublings and delivery order named where they are decided

Cause: the limit of doublings is a tuned value and stood in policy.state, which has none; the name and comment of the delivery order left out warming nodes with too much weight, which also count as urgent. Change: the limit is in AcknowledgementTracker; names and comments say what is counted.

--- a/src/main/java/rosespread/policy/AcknowledgementTracker.java
+++ b/src/main/java/rosespread/policy/AcknowledgementTracker.java
@@ -39,6 +39,12 @@
      */
     private static final double QUEUE_MULTIPLE = 4;
 
+    /**
+     * Maximum number of times that the timeout of full tables doubles; silent proxies then use
+     * little of the channel.
+     */
+    private static final int MAX_TIMEOUT_DOUBLINGS = 4;
+
     /** An acknowledgement of a round, which shows that the channel has sent all earlier rounds. */
     private record ChannelProgress(long sequence, long acknowledgedAt) {}
 
@@ -114,12 +120,18 @@
             if (!proxy.subscribed()) {
                 inFlight.expire(proxy.id(), now - timeout);
             }
-            if (proxy.fullTableTimedOut(now, timeout)) {
+            if (proxy.fullTableTimedOut(now, fullTableTimeoutNanos(proxy, timeout))) {
                 proxy.requireFullTable();
             }
         }
     }
 
+    /** The timeout doubles with each further full table that the proxy leaves unacknowledged. */
+    private static long fullTableTimeoutNanos(Proxy proxy, long timeout) {
+        int retries = Math.max(0, proxy.unacknowledgedFullTables() - 1);
+        return timeout << Math.min(retries, MAX_TIMEOUT_DOUBLINGS);
+    }
+
     /**
      * Stops counting messages as queued once a later round has been acknowledged by any proxy and
      * the maximum propagation delay has passed since. If no proxy has acknowledged anything for a
--- a/src/main/java/rosespread/policy/DeliveryScheduler.java
+++ b/src/main/java/rosespread/policy/DeliveryScheduler.java
@@ -71,7 +71,7 @@
         }
         List<Proxy> subscribed = shard.subscribedMembers();
         if (mayDeliver(shard, due, subscribed, round.now())) {
-            for (ShardTable table : mostInNeedFirst(due, round.now())) {
+            for (ShardTable table : inDeliveryOrder(due, round.now())) {
                 if (!mustWait(table, subscribed, round.now())) {
                     deliver(table, subscribed, round);
                 }
@@ -80,15 +80,16 @@
     }
 
     /**
-     * Sorts the tables of a shard: first those that hold too little weight until they gain entries,
-     * then those whose last delivery is the oldest. Otherwise a table that changes all the time
-     * would take the capacity of the others in each delivery.
+     * Sorts the tables of a shard: first those with urgent entries besides removals, which have a
+     * budget of their own; then those whose last delivery is the oldest. Otherwise a table that
+     * changes all the time would take the capacity of the others in each delivery.
      */
-    private List<ShardTable> mostInNeedFirst(List<ShardTable> due, long now) {
+    private List<ShardTable> inDeliveryOrder(List<ShardTable> due, long now) {
         return due.stream()
                 .sorted(
                         Comparator.comparing(
-                                        (ShardTable table) -> !changes.needsEntries(table, now))
+                                        (ShardTable table) ->
+                                                !changes.urgentBesidesRemovals(table, now))
                                 .thenComparingLong(ShardTable::deliverySequence))
                 .toList();
     }
--- a/src/main/java/rosespread/policy/PendingChanges.java
+++ b/src/main/java/rosespread/policy/PendingChanges.java
@@ -46,10 +46,10 @@
     }
 
     /**
-     * Whether the table's delivered weight is too low, so that pending entries must be delivered
-     * although they do not replace a removal of the same delivery.
+     * Whether entries besides removals are urgent: those without which the table holds too little
+     * weight, or those of warming nodes whose delivered weight is too high.
      */
-    boolean needsEntries(ShardTable table, long now) {
+    boolean urgentBesidesRemovals(ShardTable table, long now) {
         return urgentEntries(table, now) > removals(table, now);
     }
 
--- a/src/main/java/rosespread/policy/state/Proxy.java
+++ b/src/main/java/rosespread/policy/state/Proxy.java
@@ -13,9 +13,6 @@
  * may still receive the table updates of the shard that it was moved from.
  */
 public final class Proxy {
-    /** Maximum number of times that the time until the next full table doubles. */
-    private static final int MAX_DOUBLINGS = 4;
-
     private final ProxyId id;
     private final ZoneId zone;
     private final double usualRate;
@@ -160,14 +157,14 @@
         return subscribed && fullTableSequence > acknowledgedSequence;
     }
 
-    /**
-     * Whether the proxy has not acknowledged its last full tables within the timeout. The timeout
-     * doubles with each further full table that the proxy leaves unacknowledged, so that silent
-     * proxies use little of the channel.
-     */
+    /** Number of full tables sent since the proxy last acknowledged one. */
+    public int unacknowledgedFullTables() {
+        return unacknowledgedFullTables;
+    }
+
+    /** Whether the proxy has not acknowledged its last full tables within the timeout. */
     public boolean fullTableTimedOut(long now, long timeoutNanos) {
-        int doublings = Math.min(unacknowledgedFullTables - 1, MAX_DOUBLINGS);
-        return fullTableUnacknowledged() && now - fullTableSentAt > timeoutNanos << doublings;
+        return fullTableUnacknowledged() && now - fullTableSentAt > timeoutNanos;
     }
 
     /** Records that the proxy acknowledged this message, and thereby all earlier ones. */
