Scenario runs: times of orders are called ordered, not sent

Cause: a mark tells how long its message waited since the policy ordered it, so the time that ChangeLatency and the invariants take from it is that of the order; names and comments said it was that of the hand-over to the stream. PacedChannel's comment left out that its durability timeout may send a message before its log entries are durable. Change: names and comments only. Result: tests of the scenario package and ArchitectureTest pass.

--- a/src/main/java/rosespread/controller/PacedChannel.java
+++ b/src/main/java/rosespread/controller/PacedChannel.java
@@ -10,9 +10,9 @@
 
 /**
  * Sends messages to proxies one at a time, limited to a rate in weight entries per second. Each
- * message waits until the log entries that it depends on are durable. Once sent, a message waits
- * only in the write buffer of its own stream, so a proxy that reads slowly does not delay other
- * proxies.
+ * message waits until the log entries that it depends on are durable, or until its {@link
+ * DurabilityTimeout} lets it be sent without them. Once sent, a message waits only in the write
+ * buffer of its own stream, so a proxy that reads slowly does not delay other proxies.
  *
  * <p>Owned by the event-loop thread.
  */
--- a/src/main/java/rosespread/scenario/ChangeLatency.java
+++ b/src/main/java/rosespread/scenario/ChangeLatency.java
@@ -7,8 +7,8 @@
 
 /**
  * Measures how long changes take from a controller's round to the last proxy that applied them. The
- * time counts from when the round's first message to arrive was handed to its stream. Confined to
- * the loop's thread until the run has ended.
+ * time counts from when the policy ordered the round's first message to arrive, and so includes the
+ * wait in the channel's queue. Confined to the loop's thread until the run has ended.
  */
 final class ChangeLatency {
     private static final int HISTOGRAM_DIGITS = 3;
@@ -18,12 +18,12 @@
 
     /** One round of a controller, with its entries summed over all proxies. */
     private static final class Round {
-        final long sentNanos;
+        final long orderedNanos;
         long lastAppliedNanos;
         double entries;
 
-        Round(long sentNanos) {
-            this.sentNanos = sentNanos;
+        Round(long orderedNanos) {
+            this.orderedNanos = orderedNanos;
         }
     }
 
@@ -35,16 +35,16 @@
     }
 
     /**
-     * Returns the time at which the message that {@code mark} closes was handed to its stream.
+     * Returns the time at which the policy ordered the message that {@code mark} closes.
      *
      * @param nanos when the message arrived
      */
-    static long sentNanos(long nanos, Frame.Mark mark) {
+    static long orderedNanos(long nanos, Frame.Mark mark) {
         return nanos - mark.queuedMicros() * NANOS_PER_MICRO;
     }
 
     void messageArrived(long nanos, String controller, Frame.Mark mark) {
-        rounds.computeIfAbsent(key(controller, mark), key -> new Round(sentNanos(nanos, mark)))
+        rounds.computeIfAbsent(key(controller, mark), key -> new Round(orderedNanos(nanos, mark)))
                         .entries +=
                 mark.lines();
     }
@@ -56,12 +56,14 @@
         }
     }
 
-    /** Returns the milliseconds from a change's commit to the last proxy that applied it. */
+    /**
+     * Returns the milliseconds from when a change was ordered to the last proxy that applied it.
+     */
     Histogram changeMillis() {
         Histogram millis = new Histogram(HISTOGRAM_DIGITS);
         rounds.values().stream()
                 .filter(round -> round.lastAppliedNanos > 0)
-                .mapToLong(round -> Math.max(0, round.lastAppliedNanos - round.sentNanos))
+                .mapToLong(round -> Math.max(0, round.lastAppliedNanos - round.orderedNanos))
                 .forEach(nanos -> millis.recordValue(nanos / NANOS_PER_MILLI));
         return millis;
     }
--- a/src/main/java/rosespread/scenario/DrainInvariant.java
+++ b/src/main/java/rosespread/scenario/DrainInvariant.java
@@ -140,7 +140,7 @@
                             RunTimeline.describeAge(nanos, proxy.joinedNanos()),
                             RunTimeline.describeAge(nanos, node.stateSinceNanos()),
                             RunTimeline.describeAge(nanos, proxy.firstMessageNanos()),
-                            RunTimeline.describeAge(nanos, proxy.lastMessageSentNanos())));
+                            RunTimeline.describeAge(nanos, proxy.lastMessageOrderedNanos())));
         }
     }
 
--- a/src/main/java/rosespread/scenario/InvariantChecker.java
+++ b/src/main/java/rosespread/scenario/InvariantChecker.java
@@ -236,7 +236,7 @@
     @Override
     public void messageArrived(
             long nanos, String proxy, String controller, Frame.Mark mark, double onLink) {
-        proxies.get(proxy).messageArrived(nanos, ChangeLatency.sentNanos(nanos, mark));
+        proxies.get(proxy).messageArrived(nanos, ChangeLatency.orderedNanos(nanos, mark));
         queueLength.messageArrived(nanos, controller, mark, onLink);
         messageRate.messageArrived(nanos, proxy);
         changeLatency.messageArrived(nanos, controller, mark);
--- a/src/main/java/rosespread/scenario/ObservedProxy.java
+++ b/src/main/java/rosespread/scenario/ObservedProxy.java
@@ -14,7 +14,7 @@
     private String controller;
     private long joinedNanos;
     private long firstMessageNanos = Long.MIN_VALUE;
-    private long lastMessageSentNanos = Long.MIN_VALUE;
+    private long lastMessageOrderedNanos = Long.MIN_VALUE;
 
     ObservedProxy(String name) {
         this.name = name;
@@ -25,7 +25,7 @@
         controller = newController;
         joinedNanos = nanos;
         firstMessageNanos = Long.MIN_VALUE;
-        lastMessageSentNanos = Long.MIN_VALUE;
+        lastMessageOrderedNanos = Long.MIN_VALUE;
         weightsByTable.clear();
     }
 
@@ -33,8 +33,8 @@
         controller = null;
     }
 
-    void messageArrived(long nanos, long sentNanos) {
-        lastMessageSentNanos = sentNanos;
+    void messageArrived(long nanos, long orderedNanos) {
+        lastMessageOrderedNanos = orderedNanos;
         firstMessageNanos = firstMessageNanos == Long.MIN_VALUE ? nanos : firstMessageNanos;
     }
 
@@ -69,11 +69,11 @@
     }
 
     /**
-     * Returns when the last message was handed to the stream; {@link Long#MIN_VALUE} before the
-     * first message.
+     * Returns when the policy ordered the last message; {@link Long#MIN_VALUE} before the first
+     * message.
      */
-    long lastMessageSentNanos() {
-        return lastMessageSentNanos;
+    long lastMessageOrderedNanos() {
+        return lastMessageOrderedNanos;
     }
 
     /** Returns the weights of a table by node; null if the stream delivered none for the table. */
--- a/src/main/java/rosespread/scenario/WarmUpInvariant.java
+++ b/src/main/java/rosespread/scenario/WarmUpInvariant.java
@@ -77,7 +77,7 @@
             return false;
         }
         long since = node.stateSinceNanos();
-        return proxy.lastMessageSentNanos() > since
+        return proxy.lastMessageOrderedNanos() > since
                 || nanos - since > timeline.extendedLimit(drainTimeoutNanos, since, nanos);
     }
 }
