StrictMath in DecayingSum and CapacityEstimator: same decisions on every kind of machine

Change: StrictMath in these two places, whose results are specified bit by bit. A search of policy, policy.state and stats for other such calls (exp, log, pow, sin, ...) found none; sqrt is exact.

By its specification StrictMath gives the same on x86-64; no run on x86-64 was made.

--- a/src/main/java/rosespread/policy/CapacityEstimator.java
+++ b/src/main/java/rosespread/policy/CapacityEstimator.java
@@ -189,12 +189,13 @@
         double factor = node.capacityFactor();
         if (Math.abs(measuredRatio - 1) > ADJUSTMENT_TOLERANCE) {
             double exponent = node.capacityAdjusted() ? ADJUSTMENT_EXPONENT : 1;
+            // StrictMath: the same decisions on every kind of machine.
             factor =
                     Math.max(
                             MIN_CAPACITY_FACTOR,
                             Math.min(
                                     MAX_CAPACITY_FACTOR,
-                                    factor * Math.pow(measuredRatio, exponent)));
+                                    factor * StrictMath.pow(measuredRatio, exponent)));
         }
         node.adjustCapacity(factor);
     }
--- a/src/main/java/rosespread/stats/DecayingSum.java
+++ b/src/main/java/rosespread/stats/DecayingSum.java
@@ -22,7 +22,8 @@
     /** Returns the sum decayed to this time; a time before the last update applies no decay. */
     public double read(long now) {
         if (now > updatedAt) {
-            value = value == 0 ? 0 : value * Math.exp((updatedAt - now) / timeConstantNanos);
+            // StrictMath: the same decisions on every kind of machine.
+            value = value == 0 ? 0 : value * StrictMath.exp((updatedAt - now) / timeConstantNanos);
             updatedAt = now;
         }
         return value;
