--- a/review/standin-2/DrainCase.java
+++ b/review/standin-2/DrainCase.java
@@ -7,11 +7,16 @@
 import java.util.Map;
 
 /**
- * An operator drains one till server at three controllers. What follows is either "late-list" (the
- * drained server is switched off, and one controller's list tells so some seconds late),
- * "silent-list" (one controller restarts while its list is silent) or "late-request" (a request to
- * end the drain, given before it was ordered again, arrives after that). Checks that no joined relay tries the server
- * later than the grace after its controller was told of the drain.
+ * An operator drains one till server at three controllers. What follows is one of three:
+ *
+ * <ul>
+ *   <li>late-list: the drained server is switched off, and one list tells so some seconds late;
+ *   <li>silent-list: one controller restarts while its list is silent;
+ *   <li>late-request: a request to end the drain arrives after the drain was ordered again.
+ * </ul>
+ *
+ * <p>Checks that no joined relay tries the server later than the grace after its controller was
+ * told of the drain.
  *
  * <p>Arguments: the case, the repository, a temporary folder, the record, whether there is trouble.
  * Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
