--- a/review/standin-2/TwoOperatorsCase.java
+++ b/review/standin-2/TwoOperatorsCase.java
@@ -77,11 +77,11 @@
             (i / Costa.ROOMS.size() % 2 == 0 ? first : second).add(site.nodes.get(i).name);
         }
         CountDownLatch done = new CountDownLatch(2);
-        operator("anna", site.rooms.get(0), first, done);
+        operator("first operator", site.rooms.get(0), first, done);
         if (!trouble) {
             Thread.sleep(6000);
         }
-        operator("bruno", site.rooms.get(1), second, done);
+        operator("second operator", site.rooms.get(1), second, done);
         done.await();
         watch();
         return true;
