--- a/review/standin-2/Programs.java
+++ b/review/standin-2/Programs.java
@@ -20,6 +20,8 @@
 
 /** Starts and ends the project's programs, by the command of the deploy file. */
 final class Programs implements AutoCloseable {
+    private static final long LONGEST_RUN_MILLIS = 115_000;
+
     final Path root;
     final Path temporary;
     private final Record record;
@@ -43,6 +45,21 @@
         }
         run = line.group(1);
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+        Thread limit = new Thread(this::endLongRun, "limit");
+        limit.setDaemon(true);
+        limit.start();
+    }
+
+    /** Ends a run that takes too long: the case could not run. */
+    private void endLongRun() {
+        try {
+            Thread.sleep(LONGEST_RUN_MILLIS);
+        } catch (InterruptedException e) {
+            return;
+        }
+        record.line("ended after " + LONGEST_RUN_MILLIS + " ms; exit code 2");
+        close();
+        Runtime.getRuntime().halt(2);
     }
 
     static int freePort() throws IOException {
